--- /dev/null
+++ b/coordination/feed/follower.go
@@ -0,0 +1,266 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// readTimeout bounds a call that waits for no change. A table that is
+	// slowed sixtyfold still answers in time.
+	readTimeout = 600 * time.Millisecond
+
+	// watchSlack is added to the wait of a watch, for its way there and back.
+	watchSlack = 600 * time.Millisecond
+
+	// firstPause and longestPause bound the pause after a failed call. Short
+	// pauses find the table back soon, long ones spare it while it is away.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+)
+
+// Config describes a follower.
+type Config[T any] struct {
+	Source Source[T]
+	Clock  Clock
+
+	// Wait is how long a watch waits for a change.
+	Wait time.Duration
+
+	// Gap is the shortest time between two watches. Changes within it come
+	// with one answer.
+	Gap time.Duration
+
+	// Settle is how long after the end of an outage a row that vanished
+	// during it is kept. Its writer may just have been unable to renew it.
+	Settle time.Duration
+
+	// Apply gets a copy of all rows whenever they changed. Calls come one
+	// after the other.
+	Apply func(rows map[string]T)
+
+	// Report gets what happened to the follower. It must not block.
+	Report func(Event)
+}
+
+// Event tells what happened to a follower.
+type Event struct {
+	// Err is the reason of a failed call, of a row that can't be used, or nil.
+	Err error
+
+	// Key names the row that can't be used, if the event is about one.
+	Key string
+
+	// Lost and Regained tell the first failed call and the first good one
+	// after it.
+	Lost     bool
+	Regained bool
+
+	// Away is how long the table was out of reach when it is regained.
+	Away time.Duration
+}
+
+// Follower keeps a copy of a table. AsOf may be called by any goroutine.
+type Follower[T any] struct {
+	config Config[T]
+
+	// rows, revision, synced, lostAt, settled and vanished belong to Run.
+	rows     map[string]T
+	revision int64
+	synced   bool
+	lostAt   time.Duration
+	away     bool
+	settled  time.Duration
+	vanished map[string]struct{}
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	anchor anchor
+	known  bool
+	asOf   time.Duration
+}
+
+// NewFollower returns a follower that knows nothing yet.
+func NewFollower[T any](config Config[T]) *Follower[T] {
+	return &Follower[T]{config: config, rows: make(map[string]T), vanished: make(map[string]struct{})}
+}
+
+// AsOf returns the time on the follower's clock up to which its copy is known
+// to be current, and false before the first answer.
+func (f *Follower[T]) AsOf() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asOf, f.known
+}
+
+// Run follows the table until the context ends.
+func (f *Follower[T]) Run(ctx context.Context) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		switch {
+		case err == nil:
+			pause = firstPause
+			sleep(ctx, f.config.Gap)
+		case errors.Is(err, ErrCompacted):
+			f.synced = false
+		case ctx.Err() == nil:
+			f.lost(err)
+			sleep(ctx, pause)
+			pause = min(2*pause, longestPause)
+		}
+	}
+	return fmt.Errorf("follow table: %w", ctx.Err())
+}
+
+// step makes one call and takes its answer.
+func (f *Follower[T]) step(ctx context.Context) error {
+	if !f.synced {
+		return f.call(ctx, readTimeout, func(ctx context.Context) (Reading[T], error) {
+			return f.config.Source.Read(ctx)
+		})
+	}
+	wait := f.wait()
+	return f.call(ctx, wait+watchSlack, func(ctx context.Context) (Reading[T], error) {
+		return f.config.Source.Watch(ctx, f.revision, wait)
+	})
+}
+
+// wait returns how long the next watch waits. It is short after a failure, so
+// that the first answer tells soon that the table is back, and while rows are
+// waiting to be given up.
+func (f *Follower[T]) wait() time.Duration {
+	if f.away {
+		return 0
+	}
+	if left := f.settled - f.config.Clock(); len(f.vanished) > 0 && left < f.config.Wait {
+		return max(left, 0)
+	}
+	return f.config.Wait
+}
+
+// call makes a call, notes how current its answer is, and takes its rows.
+func (f *Follower[T]) call(ctx context.Context, limit time.Duration, do func(context.Context) (Reading[T], error)) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	sent := f.config.Clock()
+	reading, err := do(ctx)
+	if err != nil {
+		return fmt.Errorf("call table: %w", err)
+	}
+	f.regained()
+	f.take(reading)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asOf = max(f.asOf, f.anchor.observe(sent, f.config.Clock(), reading.Clock))
+	f.known = true
+	return nil
+}
+
+// take applies an answer to the copy.
+func (f *Follower[T]) take(reading Reading[T]) {
+	changed := !f.synced
+	if !f.synced {
+		f.markMissing(reading.Changes)
+	}
+	for _, c := range reading.Changes {
+		changed = f.change(c) || changed
+	}
+	changed = f.forgetVanished() || changed
+	f.synced = true
+	f.revision = max(f.revision, reading.Revision)
+	if changed {
+		f.config.Apply(maps.Clone(f.rows))
+	}
+}
+
+// change applies one row and reports whether the copy changed.
+func (f *Follower[T]) change(c Change[T]) bool {
+	if c.Fault != nil {
+		f.config.Report(Event{Key: c.Key, Err: c.Fault})
+	}
+	if !c.Removed && c.Fault == nil {
+		f.rows[c.Key] = c.Value
+		delete(f.vanished, c.Key)
+		return true
+	}
+	if _, ok := f.rows[c.Key]; !ok {
+		return false
+	}
+	if c.Removed && f.settling() {
+		f.vanished[c.Key] = struct{}{}
+		return false
+	}
+	delete(f.rows, c.Key)
+	delete(f.vanished, c.Key)
+	return true
+}
+
+// markMissing takes the rows that a whole reading lacks as removed.
+func (f *Follower[T]) markMissing(all []Change[T]) {
+	present := make(map[string]struct{}, len(all))
+	for _, c := range all {
+		present[c.Key] = struct{}{}
+	}
+	for key := range f.rows {
+		if _, ok := present[key]; !ok {
+			f.change(Change[T]{Key: key, Removed: true})
+		}
+	}
+}
+
+// settling reports whether an outage ended so recently that vanished rows are
+// kept.
+func (f *Follower[T]) settling() bool {
+	return f.settled > 0 && f.config.Clock() < f.settled
+}
+
+// forgetVanished removes the rows that did not come back in time.
+func (f *Follower[T]) forgetVanished() bool {
+	if len(f.vanished) == 0 || f.settling() {
+		return false
+	}
+	for key := range f.vanished {
+		delete(f.rows, key)
+	}
+	clear(f.vanished)
+	return true
+}
+
+// lost notes a failed call.
+func (f *Follower[T]) lost(err error) {
+	if f.away {
+		return
+	}
+	f.away, f.lostAt = true, f.config.Clock()
+	f.config.Report(Event{Lost: true, Err: err})
+}
+
+// regained notes a good call.
+func (f *Follower[T]) regained() {
+	if !f.away {
+		return
+	}
+	f.away = false
+	now := f.config.Clock()
+	f.settled = now + f.config.Settle
+	f.config.Report(Event{Regained: true, Away: now - f.lostAt})
+}
+
+// sleep waits for d or for the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/router/internal/placement/belief.go
@@ -0,0 +1,34 @@
+package placement
+
+import "time"
+
+// Belief is what a board believes of one server, for the state dump.
+type Belief struct {
+	ID        string
+	Service   string
+	Zone      string
+	Reading   int
+	Running   int
+	Peers     Load
+	Failing   float64
+	Pace      float64
+	Hanging   time.Duration
+	Suspended bool
+}
+
+// Beliefs returns what the board believes of each server that takes work.
+func (b *Board) Beliefs(now time.Time) []Belief {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	beliefs := make([]Belief, 0, len(b.servers))
+	for _, s := range b.servers {
+		s.fade(now)
+		beliefs = append(beliefs, Belief{
+			ID: s.ID, Service: s.Service, Zone: s.Zone,
+			Reading: s.reading, Running: s.running, Peers: s.peers,
+			Failing: s.failing, Pace: s.pace,
+			Hanging: s.hanging(now), Suspended: now.Before(s.suspended),
+		})
+	}
+	return beliefs
+}
--- /dev/null
+++ b/router/internal/placement/cost.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"time"
+)
+
+const (
+	// decodeStep is the time of one step of an idle engine, for the first
+	// event of an answer and as the time of a token.
+	decodeStep = 5 * time.Millisecond
+
+	// calm is the part of the target that a request may spend on waiting and
+	// reading without a cost; beyond it lateness is near.
+	calm = 0.5
+
+	// lateWeight is the cost of a second beyond that, in seconds.
+	lateWeight = 4
+
+	// foreignWeight is the cost of a second of reading on servers of the
+	// other group: it delays each of the requests that run there.
+	foreignWeight = 6
+
+	// rankCost keeps requests at the servers that their session prefers, in
+	// seconds for each rank.
+	rankCost = 0.002
+
+	// zoneCost is the cost of leaving the availability zone, in seconds.
+	zoneCost = 0.0005
+
+	// failCost is the cost of a failed request in seconds, as a multiple of
+	// the expected time of an answer at a plain server and of the target at
+	// an engine.
+	failCost = 6
+
+	// hangFactor is how many times the expected time may pass without an
+	// answer before a server counts as hanging; hangFloor is the least such
+	// time.
+	hangFactor = 4
+	hangFloor  = 300 * time.Millisecond
+
+	// coldCost is the cost of a server that is slow after its start, in
+	// seconds.
+	coldCost = 0.01
+)
+
+// decodeSeconds returns the server time that the answer takes.
+func (s *service) decodeSeconds(m *server, work *Work) float64 {
+	if m.Slots == 0 {
+		return 0
+	}
+	return float64(work.Output) * decodeStep.Seconds() * decodeShare / float64(m.Slots)
+}
+
+// plainCost returns the cost of an answer by a plain server.
+func (s *service) plainCost(now time.Time, m *server, zone string) float64 {
+	usual := s.answer.Seconds()
+	cost := usual * m.pace
+	slots := max(m.Slots, 1)
+	cost += usual * m.pace * float64(m.load()) / float64(slots)
+	if m.load() >= slots {
+		cost += usual * float64(m.load()-slots+1)
+	}
+	cost += failCost * usual * m.failing
+	cost += s.trouble(now, m, s.answer)
+	if m.Zone != zone {
+		cost += zoneCost
+	}
+	return cost
+}
+
+// trouble returns the cost of signs that a server is not well.
+func (s *service) trouble(now time.Time, m *server, expected time.Duration) float64 {
+	cost := 0.0
+	if hanging := m.hanging(now); hanging > max(hangFactor*expected, hangFloor) {
+		cost += hanging.Seconds()
+	}
+	if now.Before(m.coldUntil) {
+		cost += coldCost
+	}
+	return cost
+}
+
+// chooseEngine returns the engine with the least cost. The engines are cut into
+// two ranges, for urgent and for patient requests, as large as the demand of
+// the two groups asks for. A session prefers the engines of its range in the
+// order of its rendezvous hash, the same at each router; the first one is
+// believed to keep the session's prompt.
+func (s *service) chooseEngine(now time.Time, work *Work, candidates []*server, zone string) (*server, Choice) {
+	urgent := s.demand.isUrgent(work.Target)
+	own, other := s.ranges(now, candidates, urgent)
+	ranked := rank(work.session(), own)
+	choice := Choice{Cost: -1, Next: -1}
+	var chosen *server
+	for i, m := range ranked {
+		cost := s.engineCost(now, m, work, i == 0) + float64(min(i, maxRank))*rankCost
+		if m.Zone != zone {
+			cost += zoneCost
+		}
+		choice.consider(&chosen, m, cost, i == 0)
+	}
+	for _, m := range other {
+		read := float64(work.Prompt-work.common()) / s.speed
+		cost := s.engineCost(now, m, work, false) + foreignWeight*read + foreignCost
+		choice.consider(&chosen, m, cost, false)
+	}
+	return chosen, choice
+}
+
+const (
+	// maxRank is the rank from which on a session prefers no server.
+	maxRank = 4
+
+	// foreignCost keeps requests in the range of their group, in seconds.
+	foreignCost = 0.05
+)
+
+// ranges returns the servers of the request's own group and those of the
+// other. Without groups all servers are the request's own.
+func (s *service) ranges(now time.Time, candidates []*server, urgent bool) (own, other []*server) {
+	n := s.demand.urgentServers(now, len(candidates))
+	if urgent {
+		return candidates[:n], candidates[n:]
+	}
+	return candidates[n:], candidates[:n]
+}
+
+// engineCost returns the cost of a request at an engine.
+func (s *service) engineCost(now time.Time, m *server, work *Work, home bool) float64 {
+	read := float64(work.unread(home)) / s.speed
+	wait := float64(m.backlog()) / s.speed
+	first := (wait + read) * m.pace
+	cost := read * m.pace
+	target := work.Target.Seconds()
+	if over := first - calm*target; over > 0 {
+		cost += lateWeight * over
+	}
+	if slots := max(m.Slots, 1); m.load() >= slots {
+		cost += target * float64(m.load()-slots+1) / float64(slots)
+	} else {
+		cost += s.decodeSeconds(m, work) * float64(m.load()) / float64(slots)
+	}
+	cost += failCost * target * m.failing
+	cost += s.trouble(now, m, time.Duration((wait+read)*float64(time.Second)))
+	return cost
+}
+
+// rank orders servers by their rendezvous hash for a session.
+func rank(session uint64, servers []*server) []*server {
+	if session == 0 {
+		return servers
+	}
+	type scored struct {
+		server *server
+		score  uint64
+	}
+	ranked := make([]scored, len(servers))
+	for i, m := range servers {
+		ranked[i] = scored{server: m, score: score(session, m.hash)}
+	}
+	sortByScore(ranked, func(a scored) uint64 { return a.score })
+	ordered := make([]*server, len(servers))
+	for i := range ranked {
+		ordered[i] = ranked[i].server
+	}
+	return ordered
+}
--- /dev/null
+++ b/router/internal/placement/demand.go
@@ -0,0 +1,106 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandMemory is the time over which the demand of a service is averaged.
+	// It spans some dozens of requests at one router and follows a burst
+	// within seconds.
+	demandMemory = 4 * time.Second
+
+	// groupRatio is the ratio of targets from which on classes count as urgent
+	// and patient. Below it they are served by the same servers.
+	groupRatio = 2
+
+	// headroom is the exponent that gives the smaller demand more servers than
+	// its share of the load, as small groups need relatively more of them.
+	headroom = 0.7
+
+	// decodeShare is the part of a server's time that a running request takes,
+	// relative to a full batch.
+	decodeShare = 0.6
+)
+
+// rate is an average of an amount for each second that fades exponentially.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+// add counts an amount.
+func (r *rate) add(now time.Time, amount float64) {
+	r.value = r.current(now) + amount/demandMemory.Seconds()
+	r.at = now
+}
+
+// current returns the rate at a time.
+func (r *rate) current(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.value * math.Exp(-now.Sub(r.at).Seconds()/demandMemory.Seconds())
+}
+
+// demand tells the urgent from the patient requests of a service and how much
+// server time each group asks for.
+type demand struct {
+	// targets are the targets of the service's classes in rising order.
+	targets []time.Duration
+
+	// urgent and patient are seconds of server time asked for in each second.
+	urgent  rate
+	patient rate
+}
+
+// setTargets takes the targets of the service's classes.
+func (d *demand) setTargets(targets []time.Duration) {
+	d.targets = slices.Clone(targets)
+	slices.Sort(d.targets)
+}
+
+// border returns the longest target of an urgent request, and false if all
+// classes of the service form one group.
+func (d *demand) border() (time.Duration, bool) {
+	widest, border := 0.0, time.Duration(0)
+	for i := 1; i < len(d.targets); i++ {
+		if d.targets[i-1] <= 0 {
+			continue
+		}
+		if ratio := float64(d.targets[i]) / float64(d.targets[i-1]); ratio > widest {
+			widest, border = ratio, d.targets[i-1]
+		}
+	}
+	return border, widest >= groupRatio
+}
+
+// isUrgent reports whether a request with this target is urgent.
+func (d *demand) isUrgent(target time.Duration) bool {
+	border, split := d.border()
+	return !split || target <= border
+}
+
+// add counts a request that asks for some server time.
+func (d *demand) add(now time.Time, target time.Duration, seconds float64) {
+	if d.isUrgent(target) {
+		d.urgent.add(now, seconds)
+		return
+	}
+	d.patient.add(now, seconds)
+}
+
+// urgentServers returns how many of n servers the urgent group gets first.
+func (d *demand) urgentServers(now time.Time, n int) int {
+	if _, split := d.border(); !split || n < 2 {
+		return n
+	}
+	u := math.Pow(d.urgent.current(now), headroom)
+	p := math.Pow(d.patient.current(now), headroom)
+	if u+p == 0 {
+		return (n + 1) / 2
+	}
+	return min(max(int(math.Round(float64(n)*u/(u+p))), 1), n-1)
+}
--- /dev/null
+++ b/router/internal/placement/server.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// forgetting is the time in which what was learned of a server's failures
+	// and pace loses two thirds, so that a server is tried again.
+	forgetting = 4 * time.Second
+
+	// learning is the weight of a single observation.
+	learning = 0.25
+
+	// suspension is how long a server that can't be reached gets no work.
+	suspension = time.Second
+)
+
+// Server is a backend server that takes work.
+type Server struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+
+	// Engine marks a model engine.
+	Engine bool
+
+	// Warming is how much longer the server is slow after its start.
+	Warming time.Duration
+}
+
+// server is what a board believes of a backend server.
+type server struct {
+	Server
+	hash uint64
+
+	// reading is the number of prompt tokens of own requests that wait for
+	// their first event, running the number of own requests in progress.
+	reading int
+	running int
+
+	// peers is the same of other routers, as they told last.
+	peers Load
+
+	// failing is the smoothed share of failed requests, pace the smoothed
+	// ratio of the measured to the expected time of an answer. Both fade.
+	failing float64
+	pace    float64
+	faded   time.Time
+
+	// waiting is since when no request was answered though some wait.
+	waiting time.Time
+
+	// suspended is until when the server gets no work, coldUntil until when
+	// it is slow after its start.
+	suspended time.Time
+	coldUntil time.Time
+}
+
+// Load is the work at a server that a router told of.
+type Load struct {
+	// Reading is the number of prompt tokens that wait to be read, Running
+	// the number of requests in progress.
+	Reading int
+	Running int
+}
+
+// newServer returns what is believed of a server at first.
+func newServer(s Server, now time.Time) *server {
+	return &server{Server: s, hash: xxhash.Sum64String(s.ID), pace: 1, faded: now, coldUntil: now.Add(s.Warming)}
+}
+
+// fade lets what was learned lose its weight.
+func (s *server) fade(now time.Time) {
+	if d := now.Sub(s.faded); d > 0 {
+		keep := math.Exp(-float64(d) / float64(forgetting))
+		s.failing *= keep
+		s.pace = 1 + (s.pace-1)*keep
+		s.faded = now
+	}
+}
+
+// observe learns from the time of an answer.
+func (s *server) observe(now time.Time, measured, expected time.Duration) {
+	s.fade(now)
+	ratio := float64(measured) / float64(max(expected, time.Millisecond))
+	s.pace += learning * (min(ratio, maxPace) - s.pace)
+	s.pace = max(s.pace, minPace)
+}
+
+// minPace and maxPace bound the learned pace, so that neither a lucky nor a
+// hanging answer speaks for the server for long.
+const (
+	minPace = 0.5
+	maxPace = 20
+)
+
+// failed learns from the end of a request.
+func (s *server) failed(now time.Time, failed bool) {
+	s.fade(now)
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	s.failing += learning * (value - s.failing)
+}
+
+// backlog returns the prompt tokens that wait at the server.
+func (s *server) backlog() int { return s.reading + s.peers.Reading }
+
+// load returns the requests in progress at the server.
+func (s *server) load() int { return s.running + s.peers.Running }
+
+// hanging returns for how long the server has answered none of the requests
+// that wait there.
+func (s *server) hanging(now time.Time) time.Duration {
+	if s.waiting.IsZero() {
+		return 0
+	}
+	return now.Sub(s.waiting)
+}
--- /dev/null
+++ b/router/internal/placement/ticket.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Ticket is a request's place on a server. First and Done may be called by any
+// goroutine, Done exactly once.
+type Ticket struct {
+	board   *Board
+	server  *server
+	service *service
+	begun   time.Time
+
+	// expected is the time to the answer, or to its first event, that was
+	// expected.
+	expected time.Duration
+
+	// reading is the number of prompt tokens booked. It is zero after First.
+	reading int
+	started bool
+}
+
+// End says how a request ended at a server.
+type End uint8
+
+const (
+	// Served means that the server answered.
+	Served End = iota
+
+	// Failed means that the server failed the request.
+	Failed
+
+	// Rejected means that the server had no room.
+	Rejected
+
+	// Unreachable means that no connection to the server could be made.
+	Unreachable
+
+	// Left means that the caller went away or ran out of time; it says
+	// nothing of the server.
+	Left
+)
+
+// First notes the first event of the answer.
+func (t *Ticket) First(now time.Time) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	if t.started {
+		return
+	}
+	t.started = true
+	t.server.waiting = time.Time{}
+	measured := now.Sub(t.begun)
+	if !t.server.Engine {
+		t.service.answer += time.Duration(plainLearning * float64(measured-t.service.answer))
+		t.server.observe(now, measured, t.expected)
+		return
+	}
+	t.server.observe(now, measured, t.expected)
+	t.learnSpeed(measured)
+	t.server.reading -= t.reading
+	t.reading = 0
+}
+
+// learnSpeed learns from the time of the reading. The caller holds the board's
+// mutex.
+func (t *Ticket) learnSpeed(measured time.Duration) {
+	if t.reading < speedSample || measured <= decodeStep {
+		return
+	}
+	sample := float64(t.reading) / (measured - decodeStep/2).Seconds()
+	weight := speedFall
+	if sample > t.service.speed {
+		weight = speedRise
+	}
+	t.service.speed += weight * (sample - t.service.speed)
+}
+
+// Done gives the place back.
+func (t *Ticket) Done(now time.Time, end End) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	s := t.server
+	s.running--
+	s.reading -= t.reading
+	t.reading = 0
+	if s.running == 0 || end != Left {
+		s.waiting = time.Time{}
+	}
+	switch end {
+	case Served:
+		s.failed(now, false)
+	case Failed, Rejected:
+		s.failed(now, true)
+	case Unreachable:
+		s.failed(now, true)
+		s.suspended = now.Add(suspension)
+	case Left:
+	}
+}
+
+// sortByScore orders items from the highest score to the lowest.
+func sortByScore[T any](items []T, by func(T) uint64) {
+	slices.SortFunc(items, func(a, b T) int { return cmp.Compare(by(b), by(a)) })
+}
+
+// Expected returns the time to the answer, or to its first event, that was
+// expected when the server was chosen.
+func (t *Ticket) Expected() time.Duration { return t.expected }
--- /dev/null
+++ b/router/internal/placement/work.go
@@ -0,0 +1,95 @@
+// Package placement chooses the backend server for each request. Costs are in
+// seconds of a server's time: what is left to read of a prompt, what waits
+// before it, and what it delays for others. The package is pure code: it takes
+// the time as an argument and knows no network.
+//
+// A Board is safe for concurrent use; one mutex guards all of it, and no other
+// lock is taken while it is held.
+package placement
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Work is one request as far as the choice depends on it.
+type Work struct {
+	Service string
+
+	// Prompt and Output are the expected tokens; both are zero at a plain
+	// service.
+	Prompt int
+	Output int
+
+	// Parts are the parts of the prompt, in order. The last one is not shared.
+	Parts []Part
+
+	// Target is the time to the first event that the request is due.
+	Target time.Duration
+
+	// Tier is the importance; 0 matters most.
+	Tier int
+
+	// Once says that the request can't be repeated.
+	Once bool
+}
+
+// shared returns the tokens of the parts that other requests share.
+func (w *Work) shared() int {
+	n := 0
+	for i := 0; i+1 < len(w.Parts); i++ {
+		n += w.Parts[i].Tokens
+	}
+	return n
+}
+
+// common returns the tokens of the first part, which nearly all requests of
+// the class share, if it is not the last one.
+func (w *Work) common() int {
+	if len(w.Parts) < 2 {
+		return 0
+	}
+	return w.Parts[0].Tokens
+}
+
+// unread returns the tokens of the prompt that a server has to read. The home
+// of the session is believed to keep all shared parts, each other server the
+// common one.
+func (w *Work) unread(home bool) int {
+	if home {
+		return max(w.Prompt-w.shared(), 0)
+	}
+	return max(w.Prompt-w.common(), 0)
+}
+
+// session returns the name of all shared parts. Requests with the same session
+// share most of their prompts.
+func (w *Work) session() uint64 {
+	last := len(w.Parts) - 1
+	if last < 1 {
+		return 0
+	}
+	hash := xxhash.New()
+	for _, part := range w.Parts[:last] {
+		var b [8]byte
+		binary.BigEndian.PutUint64(b[:], part.ID)
+		_, _ = hash.Write(b[:]) // A hash in memory never fails.
+	}
+	return hash.Sum64()
+}
+
+// score returns the rank of a server for a session, by rendezvous hashing.
+func score(session, server uint64) uint64 {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], session)
+	binary.BigEndian.PutUint64(b[8:], server)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/router/internal/repeat/budget.go
@@ -0,0 +1,84 @@
+// Package repeat bounds how often requests are sent to a second backend
+// server. Each router allows a ratio of the requests that it saw itself, so
+// that the sum over all routers keeps to the ratio without a call between
+// them.
+package repeat
+
+import (
+	"sync"
+	"time"
+)
+
+// buckets is the number of parts that a window is counted in.
+const buckets = 20
+
+// Budget counts requests and repeats by service in a sliding window. Its
+// methods are safe for concurrent use.
+type Budget struct {
+	ratio float64
+	span  time.Duration
+
+	// start is the moment that parts of time are counted from.
+	start time.Time
+
+	// mu guards services.
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+// window counts over the last parts of time.
+type window struct {
+	requests [buckets]int
+	repeats  [buckets]int
+	part     int64
+}
+
+// NewBudget returns a budget that allows a ratio of repeats in each window.
+func NewBudget(ratio float64, span time.Duration) *Budget {
+	return &Budget{ratio: ratio, span: span, start: time.Now(), services: make(map[string]*window)}
+}
+
+// Request counts a caller's request for a service.
+func (b *Budget) Request(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	w.requests[w.part%buckets]++
+}
+
+// Take takes one repeat and reports whether there was one left. One is always
+// allowed in a window, as a router with few requests would else have none.
+func (b *Budget) Take(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	requests, repeats := 0, 0
+	for i := range buckets {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	if repeats > 0 && float64(repeats+1) > b.ratio*float64(requests) {
+		return false
+	}
+	w.repeats[w.part%buckets]++
+	return true
+}
+
+// window returns the counts of a service at a time. The caller holds b.mu.
+func (b *Budget) window(now time.Time, service string) *window {
+	w, ok := b.services[service]
+	if !ok {
+		w = &window{}
+		b.services[service] = w
+	}
+	part := int64(now.Sub(b.start) / max(b.span/buckets, 1))
+	if part-w.part >= buckets {
+		*w = window{part: part}
+	}
+	for w.part < part {
+		w.part++
+		w.requests[w.part%buckets] = 0
+		w.repeats[w.part%buckets] = 0
+	}
+	return w
+}
--- /dev/null
+++ b/router/relay/attempt.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/hop"
+	"snipetally.example/router/internal/placement"
+)
+
+const (
+	// errStalled says that a server was left as nothing came from it.
+	errStalled = errors.ConstError("server stalled")
+
+	// errUnsigned says that no backend server vouches for an answer.
+	errUnsigned = errors.ConstError("answer without signature")
+
+	// errCut says that an answer ended before its end.
+	errCut = errors.ConstError("answer cut short")
+
+	// wholeLimit is the length up to which an answer is held until it is
+	// whole, in bytes.
+	wholeLimit = 1 << 20
+
+	// rejections is the largest number of servers that may reject a request
+	// before it is given up.
+	rejections = 3
+
+	// stallFactor and stallTargets bound how long a request that can be
+	// repeated waits for its answer: a multiple of the expected time and of
+	// the target of its class.
+	stallFactor  = 8
+	stallTargets = 2
+
+	// gapFactor and gapFloor bound the pause between events of a stream that
+	// can be resumed.
+	gapFactor = 4
+	gapFloor  = 800 * time.Millisecond
+
+	// leastPatience is the least time that is worth an attempt.
+	leastPatience = 5 * time.Millisecond
+)
+
+// result says how an attempt ended.
+type result uint8
+
+const (
+	// answered means that the caller has the whole answer.
+	answered result = iota
+
+	// unexecuted means that the request did not run there and never will.
+	unexecuted
+
+	// broken means that it may have run and the caller has no whole answer.
+	broken
+
+	// failing means that it ran and the server said that it failed. The
+	// answer is kept as fallback.
+	failing
+
+	// gone means that the caller left or can't be written to.
+	gone
+)
+
+// resultNames are the words for logs, in the order of the constants.
+var resultNames = [...]string{"answered", "unexecuted", "broken", "failing", "gone"}
+
+// String returns the word for logs.
+func (r result) String() string { return resultNames[r] }
+
+// wholeAnswer is an answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run makes attempts until one answers or the request is given up.
+func (x *exchange) run(ctx context.Context) {
+	for {
+		ticket, choice, ok := x.relay.board.Pick(time.Now(), x.work, x.tried)
+		if !ok {
+			x.giveUp(ctx, unexecuted, "no server")
+			return
+		}
+		x.choice = choice
+		x.tried = append(x.tried, choice.Server)
+		outcome, err := x.attempt(ctx, ticket)
+		switch {
+		case outcome == answered:
+			x.served()
+			return
+		case outcome == gone, x.request.Context().Err() != nil:
+			x.abandoned()
+			return
+		}
+		if reason := x.final(ctx, outcome); reason != "" {
+			x.logFailure(outcome, err)
+			x.giveUp(ctx, outcome, reason)
+			return
+		}
+		x.logRepeat(outcome, err)
+	}
+}
+
+// final returns why there is no further attempt, or nothing.
+func (x *exchange) final(ctx context.Context, outcome result) string {
+	switch {
+	case ctx.Err() != nil || time.Until(x.deadline) < leastPatience:
+		return "out of time"
+	case outcome != unexecuted && !x.class.Repeatable():
+		return "may have run"
+	case x.runs >= max(x.class.Attempts, 1):
+		return "attempts used up"
+	case len(x.tried)-x.runs >= rejections:
+		return "rejected"
+	case !x.relay.repeats.Take(time.Now(), x.service):
+		return "retry budget used up"
+	}
+	x.relay.meters.repeats.Inc(1)
+	return ""
+}
+
+// attempt sends the request to the chosen server and relays the answer.
+func (x *exchange) attempt(ctx context.Context, ticket *placement.Ticket) (result, error) {
+	target, ok := (*x.relay.servers.Load())[x.choice.Server]
+	if !ok {
+		ticket.Done(time.Now(), placement.Left)
+		return unexecuted, fmt.Errorf("server %s: %w", x.choice.Server, errors.NotFound)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := x.watch(ticket, cancel)
+	defer watch.stop()
+	answer, err := target.pool.Send(ctx, x.hopRequest(target))
+	if err != nil {
+		return x.sendFailed(ctx, ticket, target, err)
+	}
+	defer answer.Close()
+	outcome, err := x.relayAnswer(answer, ticket, watch)
+	ticket.Done(time.Now(), x.end(ctx, outcome, answer))
+	if outcome != unexecuted {
+		x.runs++
+	}
+	return outcome, err
+}
+
+// end tells the board how an attempt ended.
+func (x *exchange) end(ctx context.Context, outcome result, answer *hop.Answer) placement.End {
+	switch outcome {
+	case answered:
+		return placement.Served
+	case unexecuted:
+		if answer.Status == http.StatusMisdirectedRequest {
+			return placement.Unreachable
+		}
+		return placement.Rejected
+	case broken, failing:
+		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
+			return placement.Left
+		}
+		return placement.Failed
+	case gone:
+	}
+	return placement.Left
+}
+
+// sendFailed classes an attempt without an answer.
+func (x *exchange) sendFailed(ctx context.Context, ticket *placement.Ticket, target *target, err error) (result, error) {
+	var failure *hop.Failure
+	sent := !errors.As(err, &failure) || failure.Sent
+	callerLeft := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled)
+	switch {
+	case callerLeft:
+		ticket.Done(time.Now(), placement.Left)
+	case !sent:
+		ticket.Done(time.Now(), placement.Unreachable)
+	default:
+		ticket.Done(time.Now(), placement.Failed)
+		target.pool.Flush()
+	}
+	if !sent {
+		return unexecuted, err
+	}
+	x.runs++
+	return broken, err
+}
+
+// hopRequest builds the request for a server.
+func (x *exchange) hopRequest(target *target) hop.Request {
+	header := x.relay.options.codec.Deliver(endToEnd(x.request.Header), Delivery{
+		Lifetime: target.ID,
+		Patience: time.Until(x.deadline),
+		Team:     x.teamName(),
+		Tier:     x.tier,
+		After:    x.last,
+	})
+	return hop.Request{
+		Method: x.request.Method,
+		Target: x.target,
+		Host:   x.request.Host,
+		Header: header,
+		Body:   x.body,
+		Framed: x.framed,
+		Mine: func(header http.Header) bool {
+			note := x.relay.options.codec.Note(0, header)
+			return note.Attempt == x.call.Attempt || (note.Attempt == "" && !note.Signed)
+		},
+	}
+}
+
+// teamName returns the name of the caller's team, or nothing.
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
+
+// relayAnswer passes an answer on to the caller, or keeps it if another server
+// may have a better one.
+func (x *exchange) relayAnswer(answer *hop.Answer, ticket *placement.Ticket, watch *watchdog) (result, error) {
+	note := x.relay.options.codec.Note(answer.Status, answer.Header)
+	success := answer.Status >= 200 && answer.Status < 300
+	switch {
+	case success && !note.Signed:
+		return broken, errUnsigned
+	case success && x.class.Kind == Stream:
+		return x.relayStream(answer, ticket, watch)
+	}
+	whole, err := readWhole(answer)
+	if err != nil {
+		if note.Unexecuted {
+			return unexecuted, nil
+		}
+		return broken, err
+	}
+	switch {
+	case note.Unexecuted:
+		x.fallback = whole
+		return unexecuted, nil
+	case !success && answer.Status >= http.StatusInternalServerError:
+		x.fallback = whole
+		return failing, nil
+	}
+	ticket.First(time.Now())
+	x.markFirst()
+	if err := x.write(whole); err != nil {
+		return gone, err
+	}
+	return answered, nil
+}
+
+// readWhole reads an answer to its end.
+func readWhole(answer *hop.Answer) (*wholeAnswer, error) {
+	var body bytes.Buffer
+	n, err := io.Copy(&body, io.LimitReader(answer, wholeLimit+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errCut, err)
+	}
+	if n > wholeLimit {
+		return nil, fmt.Errorf("%w: over %d bytes", errCut, wholeLimit)
+	}
+	return &wholeAnswer{status: answer.Status, header: answer.Header, body: body.Bytes()}, nil
+}
+
+// markFirst notes the first byte of the answer.
+func (x *exchange) markFirst() {
+	if x.firstAfter == 0 {
+		x.firstAfter = time.Since(x.arrived)
+		x.relay.meters.answered(x.firstAfter)
+	}
+}
--- /dev/null
+++ b/router/relay/codec.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+)
+
+// Call is what the header of a request says.
+type Call struct {
+	// Attempt names the caller's attempt. Each has its own.
+	Attempt string
+
+	// Patience is how long the caller waits for the answer. Zero means that
+	// the caller did not say.
+	Patience time.Duration
+
+	// Key shows which team the caller belongs to.
+	Key string
+
+	// Prompt and Output are the tokens of the prompt and the largest number
+	// of tokens of the answer.
+	Prompt int
+	Output int
+
+	// Expected is the caller's estimate of the length of the answer in
+	// tokens, or zero.
+	Expected int
+
+	// Parts are the parts of the prompt, in order. Requests share the first
+	// ones; the last one belongs to the request alone.
+	Parts []Part
+}
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Delivery is what the router adds to a request for one backend server.
+type Delivery struct {
+	// Lifetime is the only lifetime of the server that may run the request.
+	Lifetime string
+
+	// Patience is how long the server may work on it.
+	Patience time.Duration
+
+	// Team is the caller's team, or empty.
+	Team string
+
+	// Tier is the request's importance; 0 matters most.
+	Tier int
+
+	// After is the last event that the caller has, for a stream that goes on.
+	After string
+}
+
+// Note is what the header of a backend server's answer says.
+type Note struct {
+	// Attempt is the attempt that the answer belongs to, or empty.
+	Attempt string
+
+	// Unexecuted says that the server did not run the request and never will.
+	Unexecuted bool
+
+	// Foreign says that another lifetime has the address.
+	Foreign bool
+
+	// Signed says that a backend server vouches for the answer.
+	Signed bool
+}
+
+// Codec maps headers to plain data and back. The router knows no name of a
+// header but those that HTTP itself defines.
+type Codec interface {
+	// Call reads the header of a request.
+	Call(header http.Header) (Call, error)
+
+	// Deliver makes the header for a backend server out of the caller's. It
+	// changes neither. What only the router may say is taken out.
+	Deliver(header http.Header, delivery Delivery) http.Header
+
+	// Note reads the status and header of an answer.
+	Note(status int, header http.Header) Note
+}
--- /dev/null
+++ b/router/relay/exchange.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/placement"
+)
+
+// errBodyTooLong says that a body exceeds the plan's limit.
+const errBodyTooLong = errors.ConstError("body too long")
+
+// exchange is one request of a caller. It belongs to the goroutine that serves
+// it.
+type exchange struct {
+	relay   *relay
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+
+	view  *view
+	class *Class
+	team  *Team
+	call  Call
+	tier  int
+
+	// target is the path with the query as the caller sent it.
+	target string
+	body   []byte
+	framed bool
+
+	service  string
+	work     placement.Work
+	deadline time.Time
+
+	// tried are the backend servers that got the request, runs the number of
+	// those that may have run it.
+	tried []string
+	runs  int
+
+	// choice is the last choice.
+	choice placement.Choice
+
+	// begun says that the head of an answer went to the caller, last is the
+	// last event that did.
+	begun bool
+	last  string
+
+	// firstAfter is the time from the arrival to the first byte of the answer.
+	firstAfter time.Duration
+
+	// fallback is a server's answer that is given if no other server has a
+	// better one.
+	fallback *wholeAnswer
+}
+
+// serve answers the request.
+func (x *exchange) serve() {
+	r := x.relay
+	r.meters.requests.Inc(1)
+	if !x.admit() {
+		return
+	}
+	if err := x.readBody(); err != nil {
+		x.bodyFailed(err)
+		return
+	}
+	x.prepare()
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+// admit finds the class and the team of the request. It answers the request
+// and returns false if it may not run.
+func (x *exchange) admit() bool {
+	r := x.relay
+	x.view = r.view.Load()
+	if x.view == nil {
+		x.refuse("no plan", soon)
+		return false
+	}
+	if r.refuses() {
+		x.refuse("stopping", atOnce)
+		return false
+	}
+	x.target = x.request.RequestURI
+	if !strings.HasPrefix(x.target, "/") {
+		x.target = x.request.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(x.target, "?")
+	x.class = x.view.class(x.request.Host, path)
+	if x.class == nil {
+		return x.unknown(http.StatusNotFound, "no class")
+	}
+	call, err := r.options.codec.Call(x.request.Header)
+	if err != nil {
+		x.reject(http.StatusBadRequest, err.Error())
+		return false
+	}
+	x.call = call
+	return x.authorize()
+}
+
+// authorize finds the team of a request that needs a key. While the router
+// can't know whether a key was withdrawn, it takes none.
+func (x *exchange) authorize() bool {
+	if x.class.Public || len(x.view.plan.Teams) == 0 {
+		return true
+	}
+	if x.relay.outdated(keyPart) {
+		x.relay.meters.stale.Inc(1)
+		x.refuse("plan outdated", later)
+		return false
+	}
+	team, ok := x.view.keys[x.call.Key]
+	if !ok {
+		return x.unknown(http.StatusUnauthorized, "unknown key")
+	}
+	x.team = team
+	return true
+}
+
+// unknown answers a request for something that the plan does not have. An old
+// plan can't tell, so that the caller is asked to come back.
+func (x *exchange) unknown(status int, reason string) bool {
+	if x.relay.outdated(keyPart) {
+		x.refuse("plan outdated", later)
+		return false
+	}
+	x.reject(status, reason)
+	return false
+}
+
+// readBody reads the whole body, so that it can be sent again and that the
+// server sees the caller leave.
+func (x *exchange) readBody() error {
+	x.framed = x.request.ContentLength > 0 || len(x.request.TransferEncoding) > 0 ||
+		x.request.Header.Get("Content-Length") != ""
+	limit := x.view.plan.Limits.BodyBytes
+	if limit > 0 && x.request.ContentLength > limit {
+		return errBodyTooLong
+	}
+	var reader io.Reader = x.request.Body
+	if limit > 0 {
+		reader = io.LimitReader(reader, limit+1)
+	}
+	var err error
+	if length := x.request.ContentLength; length >= 0 {
+		x.body = make([]byte, length)
+		_, err = io.ReadFull(reader, x.body)
+		return err
+	}
+	x.body, err = io.ReadAll(reader)
+	if err == nil && limit > 0 && int64(len(x.body)) > limit {
+		return errBodyTooLong
+	}
+	return err
+}
+
+// bodyFailed answers a request whose body could not be read.
+func (x *exchange) bodyFailed(err error) {
+	if errors.Is(err, errBodyTooLong) {
+		x.reject(http.StatusRequestEntityTooLarge, err.Error())
+		return
+	}
+	if x.request.Context().Err() != nil {
+		x.abandoned()
+		return
+	}
+	x.reject(http.StatusBadRequest, err.Error())
+}
+
+// prepare works out what the choice of a server depends on.
+func (x *exchange) prepare() {
+	patience := x.class.Timeout
+	if x.call.Patience > 0 && (patience <= 0 || x.call.Patience < patience) {
+		patience = x.call.Patience
+	}
+	if patience <= 0 {
+		patience = longestPatience
+	}
+	x.deadline = x.arrived.Add(patience)
+	x.tier = tier(x.class, x.team)
+	x.service = draw(x.class.Splits)
+	x.last = x.request.Header.Get("Last-Event-Id")
+	x.work = placement.Work{
+		Service: x.service,
+		Prompt:  x.call.Prompt,
+		Output:  x.call.Output,
+		Target:  x.class.Target,
+		Tier:    x.tier,
+		Once:    !x.class.Repeatable(),
+	}
+	if x.call.Expected > 0 {
+		x.work.Output = min(x.call.Expected, max(x.call.Output, x.call.Expected))
+	}
+	for _, part := range x.call.Parts {
+		x.work.Parts = append(x.work.Parts, placement.Part(part))
+	}
+	x.relay.repeats.Request(x.arrived, x.service)
+}
+
+// longestPatience bounds a request for which nobody states a bound.
+const longestPatience = 60 * time.Second
+
+// draw chooses a service by the weights.
+func draw(splits []Split) string {
+	total := 0
+	for _, s := range splits {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		if len(splits) == 0 {
+			return ""
+		}
+		return splits[0].Service
+	}
+	n := rand.IntN(total)
+	for _, s := range splits {
+		if n -= max(s.Weight, 0); n < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/router/relay/node.go
@@ -0,0 +1,288 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+
+	"snipetally.example/coordination/feed"
+	"snipetally.example/router/internal/decision"
+)
+
+// Config is what a node is started with.
+type Config struct {
+	// VM, Zone and Region say where the node runs.
+	VM     string
+	Zone   string
+	Region string
+
+	// Callers, Readiness and Operators are the addresses that are served:
+	// requests, the question whether callers should come here, and metrics
+	// and the state dump. ReadyPath is the path of that question.
+	Callers   string
+	Readiness string
+	ReadyPath string
+	Operators string
+
+	// Memory is the VM's memory for the process in bytes, or zero.
+	Memory int64
+
+	Bounds  Bounds
+	Codec   Codec
+	Plans   feed.Source[Plan]
+	Servers feed.Source[Server]
+
+	// Clock goes on while the VM is suspended; see SinceBoot.
+	Clock feed.Clock
+
+	// Log receives one JSON object a line.
+	Log io.Writer
+}
+
+const (
+	// planWait is the part of the revocation bound that a watch of the plan
+	// waits. With the timeout of the watch and a second call the age of the
+	// plan stays below the bound if one answer is lost.
+	planWait = 0.5
+
+	// longestWait bounds a watch where there is no such bound, so that a
+	// silent connection is noticed.
+	longestWait = 3 * time.Second
+
+	// planGap and serverGap gather changes that come together. A leaving
+	// server gets no more work within a fraction of its bound.
+	planGap   = 50 * time.Millisecond
+	serverGap = 500 * time.Millisecond
+
+	// serverSettle is how long after an outage of the table a server whose
+	// entry lapsed has time to write it again.
+	serverSettle = 2200 * time.Millisecond
+
+	// lingerPart is the part of the grace time in which a stopping node still
+	// takes requests, as callers find out late; finishPart is the part after
+	// which it ends whatever is in progress.
+	lingerPart = 0.37
+	finishPart = 0.93
+
+	// drainStep is the time between two looks at the requests in progress.
+	drainStep = 50 * time.Millisecond
+
+	// idleTimeout is how long a caller's connection is kept unused. It is
+	// longer than plans allow callers to count on.
+	idleTimeout = 5 * time.Minute
+
+	// headerTimeout bounds the reading of a request's header, headerBytes its
+	// size.
+	headerTimeout = 30 * time.Second
+	headerBytes   = 64 << 10
+
+	// writeTimeout bounds the writing of an answer until a stream sets a
+	// bound of its own.
+	writeTimeout = 2 * time.Minute
+
+	// garbage is the growth of the heap in percent at which memory is
+	// collected. Memory costs more than the time for it.
+	garbage = 40
+
+	// memoryPart is the part of the VM's memory that the heap may take before
+	// it is collected more often.
+	memoryPart = 0.6
+)
+
+// Node is one router process.
+type Node struct {
+	config  Config
+	log     *decision.Log
+	metrics metrics.Registry
+	relay   *relay
+	plans   *feed.Follower[Plan]
+	servers *feed.Follower[Server]
+}
+
+// NewNode returns a node. It binds nothing before Run.
+func NewNode(config Config) *Node {
+	n := &Node{
+		config:  config,
+		log:     decision.New(config.Log, config.VM),
+		metrics: metrics.NewRegistry(),
+	}
+	n.plans = feed.NewFollower(feed.Config[Plan]{
+		Source: config.Plans,
+		Clock:  config.Clock,
+		Wait:   watchWait(config.Bounds),
+		Gap:    planGap,
+		Apply:  n.applyPlans,
+		Report: n.reporter("plan"),
+	})
+	n.servers = feed.NewFollower(feed.Config[Server]{
+		Source: config.Servers,
+		Clock:  config.Clock,
+		Wait:   longestWait,
+		Gap:    serverGap,
+		Settle: serverSettle,
+		Apply:  func(rows map[string]Server) { n.relay.installServers(rows) },
+		Report: n.reporter("servers"),
+	})
+	n.relay = newRelay(options{
+		codec:   config.Codec,
+		clock:   config.Clock,
+		zone:    config.Zone,
+		bounds:  config.Bounds,
+		asOf:    n.plans.AsOf,
+		log:     n.log,
+		metrics: n.metrics,
+	})
+	return n
+}
+
+// watchWait returns how long a watch of the plan waits.
+func watchWait(bounds Bounds) time.Duration {
+	if bounds.Revocation == 0 {
+		return longestWait
+	}
+	return min(time.Duration(planWait*float64(bounds.Revocation)), longestWait)
+}
+
+// applyPlans puts the newest plan in force.
+func (n *Node) applyPlans(plans map[string]Plan) {
+	for _, plan := range plans {
+		n.relay.installPlan(plan)
+	}
+}
+
+// reporter returns a function that logs what happened to a follower.
+func (n *Node) reporter(table string) func(feed.Event) {
+	return func(e feed.Event) {
+		switch {
+		case e.Lost:
+			n.log.Problem(e.Err).Str("table", table).Msg("table lost")
+		case e.Regained:
+			n.log.Change().Str("table", table).Dur("away", e.Away).Msg("table regained")
+		default:
+			n.log.Problem(e.Err).Str("table", table).Str("key", e.Key).Msg("row can't be used")
+		}
+	}
+}
+
+// Run serves until the process is told to stop. It ends within the grace time.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetGCPercent(garbage)
+	if n.config.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(n.config.Memory)))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.log.Change().Str("zone", n.config.Zone).Str("callers", n.config.Callers).Msg("router started")
+	var group run.Group
+	group.Add(func() error { return n.awaitStop(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return n.plans.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return n.servers.Run(ctx) }, func(error) { cancel() })
+	for address, handler := range n.handlers() {
+		if err := n.serve(ctx, &group, address, handler); err != nil {
+			return err
+		}
+	}
+	err := group.Run()
+	n.log.Change().Int64("inflight", n.relay.inProgress()).Msg("router stopped")
+	if closing := n.log.Close(); closing != nil {
+		return fmt.Errorf("close log: %w", closing)
+	}
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped is why the run group ends when the process was told to stop.
+const errStopped = errors.ConstError("stopped")
+
+// handlers returns what is served at each address.
+func (n *Node) handlers() map[string]http.Handler {
+	readiness := mux.NewRouter()
+	readiness.HandleFunc(n.config.ReadyPath, n.serveReady)
+	handlers := map[string]http.Handler{
+		n.config.Callers:   n.relay,
+		n.config.Readiness: readiness,
+	}
+	if n.config.Operators != "" {
+		operators := mux.NewRouter()
+		operators.HandleFunc("/metrics", n.serveMetrics)
+		operators.HandleFunc("/state", n.serveState)
+		handlers[n.config.Operators] = operators
+	}
+	return handlers
+}
+
+// serve adds an HTTP server to the group.
+func (n *Node) serve(ctx context.Context, group *run.Group, address string, handler http.Handler) error {
+	var listen net.ListenConfig
+	listener, err := listen.Listen(ctx, "tcp4", address)
+	if err != nil {
+		return fmt.Errorf("listen at %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          n.log.Standard(),
+	}
+	group.Add(func() error {
+		if err := server.Serve(listener); err != nil {
+			return fmt.Errorf("serve %s: %w", address, err)
+		}
+		return nil
+	}, func(error) {
+		if err := server.Close(); err != nil {
+			n.log.Problem(err).Str("address", address).Msg("listener not closed")
+		}
+	})
+	return nil
+}
+
+// awaitStop waits for the signal to stop, lets the requests in progress end,
+// and returns. Callers are turned away at once; those that have not noticed
+// are served for the linger time.
+func (n *Node) awaitStop(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("await stop: %w", ctx.Err())
+	case <-signals:
+	}
+	grace := n.config.Bounds.Grace
+	linger := time.Duration(lingerPart * float64(grace))
+	finish := n.config.Clock() + time.Duration(finishPart*float64(grace))
+	n.relay.stop(linger)
+	n.log.Change().Int64("inflight", n.relay.inProgress()).Dur("linger", linger).Msg("router stopping")
+	pause(ctx, linger)
+	for n.relay.inProgress() > 0 && n.config.Clock() < finish {
+		pause(ctx, drainStep)
+	}
+	return errStopped
+}
+
+// pause waits for d or for the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
