Tell other routers what is at the backend servers, and weigh reading over waiting

Cause: each router knew its own requests only, so that nine routers cut the engines into groups at different places and sent a session to several engines. Change: notes by datagram; a cost of wait + 3 x reading, failures and pace below a usual level ignored, the wait for a slot from the learned residence.

--- a/router/internal/placement/board.go
+++ b/router/internal/placement/board.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -20,6 +22,11 @@
 	speedRise = 0.3
 	speedFall = 0.01
 
+	// firstResidence is the usual time of a request at an engine until it is
+	// learned, in seconds, residenceLearning the weight of an observation.
+	firstResidence    = 1
+	residenceLearning = 0.02
+
 	// plainTime is the expected time of an answer of a plain service until it
 	// is learned, plainLearning the weight of an observation.
 	plainTime     = 30 * time.Millisecond
@@ -34,10 +41,14 @@
 	mu       sync.Mutex
 	servers  map[string]*server
 	services map[string]*service
+	peers    map[string]*peer
 }
 
 // service is what a board believes of a service as a whole.
 type service struct {
+	// id names the service in notes.
+	id uint32
+
 	// members are ordered by hash, the same at each router.
 	members []*server
 	demand  demand
@@ -46,11 +57,22 @@
 	// answer the usual time of a plain server's answer.
 	speed  float64
 	answer time.Duration
+
+	// residence is the usual time that a request takes at an engine, in
+	// seconds.
+	residence float64
+
+	// samples is the number of observations of the speed.
+	samples int
+
+	// peerUrgent and peerPatient are the demands at the other routers.
+	peerUrgent  float64
+	peerPatient float64
 }
 
 // NewBoard returns a board of a router in an availability zone.
 func NewBoard(zone string) *Board {
-	return &Board{zone: zone, servers: make(map[string]*server), services: make(map[string]*service)}
+	return &Board{zone: zone, servers: make(map[string]*server), services: make(map[string]*service), peers: make(map[string]*peer)}
 }
 
 // SetServers replaces the servers that take work. What is believed of those
@@ -84,6 +106,7 @@
 			return 0
 		})
 	}
+	b.sumPeers()
 }
 
 // SetTargets takes the targets of the classes of a service.
@@ -97,7 +120,7 @@
 func (b *Board) service(name string) *service {
 	s, ok := b.services[name]
 	if !ok {
-		s = &service{speed: firstSpeed, answer: plainTime}
+		s = &service{id: short(xxhash.Sum64String(name)), speed: firstSpeed, answer: plainTime, residence: firstResidence}
 		b.services[name] = s
 	}
 	return s
@@ -118,6 +141,11 @@
 
 	// Home says that the server is the one that the session prefers.
 	Home bool
+
+	// Speed is the believed speed of the service in tokens a second, Urgent
+	// the number of servers that urgent requests get first.
+	Speed  float64
+	Urgent int
 }
 
 // Pick chooses a server for the work and books it there. It passes over the
--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -9,12 +9,13 @@
 	// event of an answer and as the time of a token.
 	decodeStep = 5 * time.Millisecond
 
-	// calm is the part of the target that a request may spend on waiting and
-	// reading without a cost; beyond it lateness is near.
-	calm = 0.5
+	// readWeight is the cost of a second of reading. It takes the time of an
+	// engine from all requests there, and a wait only that of its own.
+	readWeight = 3
 
-	// lateWeight is the cost of a second beyond that, in seconds.
-	lateWeight = 4
+	// lateWeight is the cost of a second beyond the target, on top of the
+	// wait itself.
+	lateWeight = 1
 
 	// foreignWeight is the cost of a second of reading on servers of the
 	// other group: it delays each of the requests that run there.
@@ -22,7 +23,7 @@
 
 	// rankCost keeps requests at the servers that their session prefers, in
 	// seconds for each rank.
-	rankCost = 0.002
+	rankCost = 0.02
 
 	// zoneCost is the cost of leaving the availability zone, in seconds.
 	zoneCost = 0.0005
@@ -60,7 +61,7 @@
 	if m.load() >= slots {
 		cost += usual * float64(m.load()-slots+1)
 	}
-	cost += failCost * usual * m.failing
+	cost += failCost * usual * m.unreliable()
 	cost += s.trouble(now, m, s.answer)
 	if m.Zone != zone {
 		cost += zoneCost
@@ -89,7 +90,10 @@
 	urgent := s.demand.isUrgent(work.Target)
 	own, other := s.ranges(now, candidates, urgent)
 	ranked := rank(work.session(), own)
-	choice := Choice{Cost: -1, Next: -1}
+	choice := Choice{Cost: -1, Next: -1, Speed: s.speed, Urgent: len(own)}
+	if !urgent {
+		choice.Urgent = len(other)
+	}
 	var chosen *server
 	for i, m := range ranked {
 		cost := s.engineCost(now, m, work, i == 0) + float64(min(i, maxRank))*rankCost
@@ -108,7 +112,7 @@
 
 const (
 	// maxRank is the rank from which on a session prefers no server.
-	maxRank = 4
+	maxRank = 3
 
 	// foreignCost keeps requests in the range of their group, in seconds.
 	foreignCost = 0.05
@@ -117,7 +121,8 @@
 // ranges returns the servers of the request's own group and those of the
 // other. Without groups all servers are the request's own.
 func (s *service) ranges(now time.Time, candidates []*server, urgent bool) (own, other []*server) {
-	n := s.demand.urgentServers(now, len(candidates))
+	n := s.demand.divide(len(candidates),
+		s.demand.urgent.current(now)+s.peerUrgent, s.demand.patient.current(now)+s.peerPatient)
 	if urgent {
 		return candidates[:n], candidates[n:]
 	}
@@ -126,24 +131,30 @@
 
 // engineCost returns the cost of a request at an engine.
 func (s *service) engineCost(now time.Time, m *server, work *Work, home bool) float64 {
-	read := float64(work.unread(home)) / s.speed
-	wait := float64(m.backlog()) / s.speed
-	first := (wait + read) * m.pace
-	cost := read * m.pace
 	target := work.Target.Seconds()
-	if over := first - calm*target; over > 0 {
-		cost += lateWeight * over
-	}
-	if slots := max(m.Slots, 1); m.load() >= slots {
-		cost += target * float64(m.load()-slots+1) / float64(slots)
-	} else {
-		cost += s.decodeSeconds(m, work) * float64(m.load()) / float64(slots)
+	read := float64(work.unread(home)) / s.speed * m.slowness()
+	wait := float64(m.backlog())/s.speed*m.slowness() + s.slotWait(m)
+	cost := wait + readWeight*read
+	if late := wait + read - target; late > 0 {
+		cost += lateWeight * late
 	}
-	cost += failCost * target * m.failing
+	cost += s.decodeSeconds(m, work) * float64(m.load()) / float64(max(m.Slots, 1))
+	cost += failCost * target * m.unreliable()
 	cost += s.trouble(now, m, time.Duration((wait+read)*float64(time.Second)))
 	return cost
 }
 
+// slotWait returns how long a request waits for a slot of an engine, in
+// seconds.
+func (s *service) slotWait(m *server) float64 {
+	slots := max(m.Slots, 1)
+	ahead := m.load() - slots + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return s.residence * float64(ahead) / float64(slots)
+}
+
 // rank orders servers by their rendezvous hash for a session.
 func rank(session uint64, servers []*server) []*server {
 	if session == 0 {
--- a/router/internal/placement/demand.go
+++ b/router/internal/placement/demand.go
@@ -92,13 +92,14 @@
 	d.patient.add(now, seconds)
 }
 
-// urgentServers returns how many of n servers the urgent group gets first.
-func (d *demand) urgentServers(now time.Time, n int) int {
+// divide returns how many of n servers the urgent group gets first, for the
+// seconds of server time that the two groups ask for.
+func (d *demand) divide(n int, urgent, patient float64) int {
 	if _, split := d.border(); !split || n < 2 {
 		return n
 	}
-	u := math.Pow(d.urgent.current(now), headroom)
-	p := math.Pow(d.patient.current(now), headroom)
+	u := math.Pow(urgent, headroom)
+	p := math.Pow(patient, headroom)
 	if u+p == 0 {
 		return (n + 1) / 2
 	}
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -13,7 +13,12 @@
 	forgetting = 4 * time.Second
 
 	// learning is the weight of a single observation.
-	learning = 0.25
+	learning = 0.15
+
+	// harmless is the share of failed requests, and usualPace the ratio of
+	// measured to expected time, that say nothing of a server yet.
+	harmless  = 0.15
+	usualPace = 2
 
 	// suspension is how long a server that can't be reached gets no work.
 	suspension = time.Second
@@ -109,6 +114,13 @@
 	s.failing += learning * (value - s.failing)
 }
 
+// slowness returns the factor by which the server is slower than others, 1 if
+// it is as fast.
+func (s *server) slowness() float64 { return max(s.pace/usualPace, 1) }
+
+// unreliable returns the share of requests that fail beyond what is harmless.
+func (s *server) unreliable() float64 { return max(s.failing-harmless, 0) }
+
 // backlog returns the prompt tokens that wait at the server.
 func (s *server) backlog() int { return s.reading + s.peers.Reading }
 
--- a/router/internal/placement/ticket.go
+++ b/router/internal/placement/ticket.go
@@ -23,6 +23,10 @@
 	started bool
 }
 
+// engineStart is the time to the first event on top of waiting and reading, at
+// an engine with a usual load.
+const engineStart = 30 * time.Millisecond
+
 // End says how a request ended at a server.
 type End uint8
 
@@ -59,7 +63,7 @@
 		t.server.observe(now, measured, t.expected)
 		return
 	}
-	t.server.observe(now, measured, t.expected)
+	t.server.observe(now, measured, t.expected+engineStart)
 	t.learnSpeed(measured)
 	t.server.reading -= t.reading
 	t.reading = 0
@@ -76,6 +80,7 @@
 	if sample > t.service.speed {
 		weight = speedRise
 	}
+	t.service.samples++
 	t.service.speed += weight * (sample - t.service.speed)
 }
 
@@ -93,6 +98,9 @@
 	switch end {
 	case Served:
 		s.failed(now, false)
+		if s.Engine {
+			t.service.residence += residenceLearning * (now.Sub(t.begun).Seconds() - t.service.residence)
+		}
 	case Failed, Rejected:
 		s.failed(now, true)
 	case Unreachable:
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -18,7 +18,7 @@
 	if len(x.tried) > 0 {
 		event = event.Strs("servers", x.tried).Int("runs", x.runs).Float64("cost", x.choice.Cost).
 			Float64("next", x.choice.Next).Int("backlog", x.choice.Backlog).Int("load", x.choice.Load).
-			Bool("home", x.choice.Home)
+			Bool("home", x.choice.Home).Int("speed", int(x.choice.Speed)).Int("urgent", x.choice.Urgent)
 	}
 	return event
 }
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -19,6 +20,7 @@
 
 	"snipetally.example/coordination/feed"
 	"snipetally.example/router/internal/decision"
+	"snipetally.example/router/internal/notice"
 )
 
 // Config is what a node is started with.
@@ -36,6 +38,11 @@
 	ReadyPath string
 	Operators string
 
+	// Peers is where other routers' notes are taken, Seeds are the addresses
+	// of some of them.
+	Peers netip.AddrPort
+	Seeds []netip.AddrPort
+
 	// Memory is the VM's memory for the process in bytes, or zero.
 	Memory int64
 
@@ -109,6 +116,7 @@
 	relay   *relay
 	plans   *feed.Follower[Plan]
 	servers *feed.Follower[Server]
+	notices *notice.Exchange
 }
 
 // NewNode returns a node. It binds nothing before Run.
@@ -144,6 +152,12 @@
 		log:     n.log,
 		metrics: n.metrics,
 	})
+	n.notices = notice.New(notice.Config{
+		Address: config.Peers,
+		Seeds:   config.Seeds,
+		Board:   n.relay.board,
+		Report:  func(err error) { n.log.Problem(err).Msg("note lost") },
+	})
 	return n
 }
 
@@ -189,6 +203,9 @@
 	group.Add(func() error { return n.awaitStop(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.plans.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.servers.Run(ctx) }, func(error) { cancel() })
+	if n.config.Peers.IsValid() {
+		group.Add(func() error { return n.notices.Run(ctx) }, func(error) { cancel() })
+	}
 	for address, handler := range n.handlers() {
 		if err := n.serve(ctx, &group, address, handler); err != nil {
 			return err
