Rank requests by the tier in force, then by that of their class

Ruled out: wrong tiers sent (the log shows the team's in each case). Change: all pairs of tiers in the plan are ranked and sent as the priority.

--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -11,7 +11,7 @@
 
 	// readWeight is the cost of a second of reading. It takes the time of an
 	// engine from all requests there, and a wait only that of its own.
-	readWeight = 3
+	readWeight = 8
 
 	// lateWeight is the cost of a second beyond the target, on top of the
 	// wait itself.
--- a/router/internal/placement/work.go
+++ b/router/internal/placement/work.go
@@ -34,12 +34,6 @@
 
 	// Target is the time to the first event that the request is due.
 	Target time.Duration
-
-	// Tier is the importance; 0 matters most.
-	Tier int
-
-	// Once says that the request can't be repeated.
-	Once bool
 }
 
 // shared returns the tokens of the parts that other requests share.
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -198,7 +198,8 @@
 		Lifetime: target.ID,
 		Patience: time.Until(x.deadline),
 		Team:     x.teamName(),
-		Tier:     x.tier,
+		Rank:     x.rank,
+		Ranks:    len(x.view.ranks),
 		After:    x.last,
 	})
 	return hop.Request{
--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -48,8 +48,10 @@
 	// Team is the caller's team, or empty.
 	Team string
 
-	// Tier is the request's importance; 0 matters most.
-	Tier int
+	// Rank is the request's place in the order of importance, of Ranks in
+	// all; 0 matters most.
+	Rank  int
+	Ranks int
 
 	// After is the last event that the caller has, for a stream that goes on.
 	After string
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -28,7 +28,10 @@
 	class *Class
 	team  *Team
 	call  Call
-	tier  int
+
+	// rank is the place of the request among all that the plan allows, from
+	// the most urgent one on.
+	rank int
 
 	// target is the path with the query as the caller sent it.
 	target string
@@ -187,7 +190,7 @@
 		patience = longestPatience
 	}
 	x.deadline = x.arrived.Add(patience)
-	x.tier = tier(x.class, x.team)
+	x.rank = x.view.ranks[importanceOf(x.class, x.team)]
 	x.service = draw(x.class.Splits)
 	x.last = x.request.Header.Get("Last-Event-Id")
 	x.work = placement.Work{
@@ -195,8 +198,6 @@
 		Prompt:  x.call.Prompt,
 		Output:  x.call.Output,
 		Target:  x.class.Target,
-		Tier:    x.tier,
-		Once:    !x.class.Repeatable(),
 	}
 	if x.call.Expected > 0 {
 		x.work.Output = min(x.call.Expected, max(x.call.Output, x.call.Expected))
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -10,13 +10,13 @@
 func (x *exchange) describe(event *zerolog.Event) *zerolog.Event {
 	event = event.Str("request", x.call.Attempt).Dur("after", time.Since(x.arrived))
 	if x.class != nil {
-		event = event.Str("class", x.class.Name).Str("service", x.service).Int("tier", x.tier)
+		event = event.Str("class", x.class.Name).Str("service", x.service).Int("rank", x.rank)
 	}
 	if x.view != nil {
 		event = event.Int64("version", x.view.plan.Version).Dur("age", x.relay.age())
 	}
 	if len(x.tried) > 0 {
-		event = event.Strs("servers", x.tried).Int("runs", x.runs).Float64("cost", x.choice.Cost).
+		event = event.Strs("servers", x.tried).Int("prompt", x.call.Prompt).Int("runs", x.runs).Float64("cost", x.choice.Cost).
 			Float64("next", x.choice.Next).Int("backlog", x.choice.Backlog).Int("load", x.choice.Load).
 			Bool("home", x.choice.Home).Int("speed", int(x.choice.Speed)).Int("urgent", x.choice.Urgent)
 	}
--- a/router/relay/view.go
+++ b/router/relay/view.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -13,6 +15,17 @@
 	hosts    map[string][]*Class
 	services map[string]*Service
 	keys     map[string]*Team
+
+	// ranks are the places of all pairs of tiers that requests can have, from
+	// the most urgent one on.
+	ranks map[importance]int
+}
+
+// importance orders requests: by the tier that is in force for them, and among
+// equals by the tier of their class.
+type importance struct {
+	tier  int
+	class int
 }
 
 // newView builds the indexes of a plan.
@@ -39,9 +52,30 @@
 			v.keys[key] = &plan.Teams[i]
 		}
 	}
+	v.ranks = rankAll(plan)
 	return v
 }
 
+// rankAll returns the places of all pairs of tiers in a plan.
+func rankAll(plan Plan) map[importance]int {
+	var all []importance
+	for i := range plan.Classes {
+		class := &plan.Classes[i]
+		all = append(all, importanceOf(class, nil))
+		for j := range plan.Teams {
+			all = append(all, importanceOf(class, &plan.Teams[j]))
+		}
+	}
+	slices.SortFunc(all, func(a, b importance) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.class, b.class))
+	})
+	ranks := make(map[importance]int)
+	for i, pair := range slices.Compact(all) {
+		ranks[pair] = i
+	}
+	return ranks
+}
+
 // class returns the class with the longest prefix that begins the path, or nil.
 func (v *view) class(host, path string) *Class {
 	for _, class := range v.hosts[hostname(host)] {
@@ -60,10 +94,11 @@
 	return strings.ToLower(host)
 }
 
-// tier returns the importance of a request of a class by a team.
-func tier(class *Class, team *Team) int {
+// importanceOf returns the tiers of a request of a class by a team. A team's
+// own tier takes the place of that of the class.
+func importanceOf(class *Class, team *Team) importance {
 	if team != nil && team.Ranked {
-		return team.Tier
+		return importance{tier: team.Tier, class: class.Tier}
 	}
-	return class.Tier
+	return importance{tier: class.Tier, class: class.Tier}
 }
