Tell the board the kind of servers also when the plan comes after them

Cause: a router that read the servers before the plan held all engines for plain servers until the servers changed again, and chose without prompts or groups. Ruled out: phantom requests of dead routers, stalls of the engines. Change: servers are placed on the board whenever the plan or the servers change.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -87,6 +87,7 @@
 		r.board.SetTargets(name, targets)
 	}
 	r.view.Store(next)
+	r.place()
 	r.options.log.Change().Int64("version", plan.Version).Int("classes", len(plan.Classes)).
 		Int("teams", len(plan.Teams)).Msg("plan in force")
 }
@@ -112,7 +113,6 @@
 	defer r.install.Unlock()
 	old := *r.servers.Load()
 	next := make(map[string]*target, len(servers))
-	var open []placement.Server
 	for id, s := range servers {
 		t, ok := old[id]
 		if !ok || t.Address != s.Address {
@@ -120,9 +120,6 @@
 		}
 		next[id] = &target{Server: s, pool: t.pool}
 		r.logServer(old[id], s)
-		if !s.Leaving {
-			open = append(open, r.placed(s))
-		}
 	}
 	for id, t := range old {
 		if kept, ok := next[id]; !ok || kept.pool != t.pool {
@@ -130,21 +127,30 @@
 			r.options.log.Change().Str("server", id).Msg("backend server gone")
 		}
 	}
-	r.board.SetServers(time.Now(), open)
 	r.servers.Store(&next)
+	r.place()
 }
 
-// placed returns a server as the board knows it.
-func (r *relay) placed(s Server) placement.Server {
-	engine := false
-	if v := r.view.Load(); v != nil {
-		if service, ok := v.services[s.Service]; ok {
-			engine = service.Engine()
-		}
+// place tells the board which servers take work and what kind they are. The
+// plan knows the kind and may come after the servers. The caller holds
+// r.install.
+func (r *relay) place() {
+	v := r.view.Load()
+	if v == nil {
+		return
 	}
-	return placement.Server{
-		ID: s.ID, Service: s.Service, Zone: s.Zone, Slots: s.Slots, Engine: engine, Warming: s.Warming,
+	var open []placement.Server
+	for _, s := range *r.servers.Load() {
+		if s.Leaving {
+			continue
+		}
+		service, known := v.services[s.Service]
+		open = append(open, placement.Server{
+			ID: s.ID, Service: s.Service, Zone: s.Zone, Slots: s.Slots,
+			Engine: known && service.Engine(), Warming: s.Warming,
+		})
 	}
+	r.board.SetServers(time.Now(), open)
 }
 
 // logServer tells what became known of a server.
