Average the demand over eight seconds

Cause: the border between the groups of engines moved by two within two seconds on steady traffic, as sizes of prompts vary much and four seconds hold few.

--- a/router/internal/placement/demand.go
+++ b/router/internal/placement/demand.go
@@ -10,7 +10,7 @@
 	// demandMemory is the time over which the demand of a service is averaged.
 	// It spans some dozens of requests at one router and follows a burst
 	// within seconds.
-	demandMemory = 4 * time.Second
+	demandMemory = 8 * time.Second
 
 	// groupRatio is the ratio of targets from which on classes count as urgent
 	// and patient. Below it they are served by the same servers.
