Send callers away at once from a router that is cut off from the plan

Change: notes tell how old a plan may be; while another router's is newer a refused caller may come back at once. A cut-off router asks to be left alone after half a second and closes connections after their answers.

--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -65,7 +65,8 @@
 	Away time.Duration
 }
 
-// Follower keeps a copy of a table. AsOf may be called by any goroutine.
+// Follower keeps a copy of a table. AsOf and Away may be called by any
+// goroutine.
 type Follower[T any] struct {
 	config Config[T]
 
@@ -78,11 +79,13 @@
 	settled  time.Duration
 	vanished map[string]struct{}
 
-	// mu guards the fields below.
-	mu     sync.Mutex
-	anchor anchor
-	known  bool
-	asOf   time.Duration
+	// mu guards the fields below. lostSince is when the first of the failed
+	// calls since the last good one failed, or zero.
+	mu        sync.Mutex
+	anchor    anchor
+	known     bool
+	asOf      time.Duration
+	lostSince time.Duration
 }
 
 // NewFollower returns a follower that knows nothing yet.
@@ -98,6 +101,23 @@
 	return f.asOf, f.known
 }
 
+// Away returns for how long calls have been failing, or zero.
+func (f *Follower[T]) Away() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostSince == 0 {
+		return 0
+	}
+	return f.config.Clock() - f.lostSince
+}
+
+// setLost notes since when calls fail; zero ends it.
+func (f *Follower[T]) setLost(since time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lostSince = since
+}
+
 // Run follows the table until the context ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
 	pause := firstPause
@@ -238,6 +258,7 @@
 		return
 	}
 	f.away, f.lostAt = true, f.config.Clock()
+	f.setLost(f.lostAt)
 	f.config.Report(Event{Lost: true, Err: err})
 }
 
@@ -247,6 +268,7 @@
 		return
 	}
 	f.away = false
+	f.setLost(0)
 	now := f.config.Clock()
 	f.settled = now + f.config.Settle
 	f.config.Report(Event{Regained: true, Away: now - f.lostAt})
--- a/router/internal/notice/codec.go
+++ b/router/internal/notice/codec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -13,6 +14,9 @@
 type message struct {
 	Note  placement.Note
 	Known []netip.AddrPort
+
+	// Age is how old the sender's plan may be, negative while it has none.
+	Age time.Duration
 }
 
 // wireMessage is a message on the wire. Arrays in place of maps keep it small.
@@ -21,6 +25,9 @@
 	Loads   []wireLoad
 	Demands []wireDemand
 	Known   [][]byte
+
+	// AgeMS is the age of the plan in milliseconds.
+	AgeMS int64
 }
 
 // wireLoad is a server's load on the wire.
@@ -43,7 +50,7 @@
 
 // encode maps a message to bytes.
 func encode(m message) ([]byte, error) {
-	var w wireMessage
+	w := wireMessage{AgeMS: m.Age.Milliseconds()}
 	for _, l := range m.Note.Loads {
 		w.Loads = append(w.Loads, wireLoad{Server: l.Server, Reading: l.Reading, Running: l.Running})
 	}
@@ -73,7 +80,7 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return message{}, fmt.Errorf("decode message: %w", err)
 	}
-	var m message
+	m := message{Age: time.Duration(w.AgeMS) * time.Millisecond}
 	for _, l := range w.Loads {
 		m.Note.Loads = append(m.Note.Loads, placement.ServerLoad{
 			Server: l.Server, Load: placement.Load{Reading: l.Reading, Running: l.Running},
--- a/router/internal/notice/notice.go
+++ b/router/internal/notice/notice.go
@@ -36,6 +36,9 @@
 	silence = 10 * time.Second
 	hearsay = 3 * time.Second
 
+	// recent is how long what a router told of its plan counts.
+	recent = 2 * time.Second
+
 	// introductions is the number of other routers that a note names.
 	introductions = 3
 
@@ -56,6 +59,10 @@
 	Seeds   []netip.AddrPort
 	Board   Board
 
+	// Age returns how old the router's plan may be, or a negative time while
+	// there is none.
+	Age func() time.Duration
+
 	// Report gets failures. It must not block.
 	Report func(error)
 }
@@ -64,14 +71,22 @@
 type Exchange struct {
 	config Config
 
-	// mu guards peers, the time until which each address gets notes.
+	// mu guards the fields below. peers holds the time until which each
+	// address gets notes, ages what each router last told of its plan.
 	mu    sync.Mutex
 	peers map[netip.AddrPort]time.Time
+	ages  map[netip.AddrPort]planAge
+}
+
+// planAge is the age of a plan at a time.
+type planAge struct {
+	at  time.Time
+	age time.Duration
 }
 
 // New returns an exchange. It binds nothing before Run.
 func New(config Config) *Exchange {
-	return &Exchange{config: config, peers: make(map[netip.AddrPort]time.Time)}
+	return &Exchange{config: config, peers: make(map[netip.AddrPort]time.Time), ages: make(map[netip.AddrPort]planAge)}
 }
 
 // Run exchanges notes until the context ends.
@@ -118,7 +133,7 @@
 
 // tell sends one note to the routers. It returns the last failure.
 func (e *Exchange) tell(conn net.PacketConn, peers []netip.AddrPort, now time.Time) error {
-	data, err := encode(message{Note: e.config.Board.Note(now), Known: some(peers)})
+	data, err := encode(message{Note: e.config.Board.Note(now), Known: some(peers), Age: e.config.Age()})
 	if err != nil {
 		return fmt.Errorf("encode note: %w", err)
 	}
@@ -138,6 +153,7 @@
 	for peer, until := range e.peers {
 		if now.After(until) {
 			delete(e.peers, peer)
+			delete(e.ages, peer)
 		}
 	}
 	for _, seed := range e.config.Seeds {
@@ -150,6 +166,21 @@
 	return peers
 }
 
+// AnyNewer reports whether a router that was heard lately has a plan that is
+// known to be newer than the bound.
+func (e *Exchange) AnyNewer(bound time.Duration) bool {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, told := range e.ages {
+		since := now.Sub(told.at)
+		if since <= recent && told.age >= 0 && told.age+since < bound {
+			return true
+		}
+	}
+	return false
+}
+
 // meet adds a router that gets notes until a time. The caller holds e.mu.
 func (e *Exchange) meet(peer netip.AddrPort, until time.Time) {
 	if peer == e.config.Address || !until.After(e.peers[peer]) {
@@ -175,6 +206,7 @@
 	sender := netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 	e.mu.Lock()
 	e.meet(sender, now.Add(silence))
+	e.ages[sender] = planAge{at: now, age: m.Age}
 	for _, other := range m.Known {
 		e.meet(other, now.Add(hearsay))
 	}
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -118,8 +118,7 @@
 		return true
 	}
 	if x.relay.outdated(keyPart) {
-		x.relay.meters.stale.Inc(1)
-		x.refuse("plan outdated", later)
+		x.refuseOutdated()
 		return false
 	}
 	team, ok := x.view.keys[x.call.Key]
@@ -134,7 +133,7 @@
 // plan can't tell, so that the caller is asked to come back.
 func (x *exchange) unknown(status int, reason string) bool {
 	if x.relay.outdated(keyPart) {
-		x.refuse("plan outdated", later)
+		x.refuseOutdated()
 		return false
 	}
 	x.reject(status, reason)
--- a/router/relay/freshness.go
+++ b/router/relay/freshness.go
@@ -8,9 +8,9 @@
 	// check and the moment that a caller's request was sent.
 	keyPart = 0.92
 
-	// readyPart is the part of the bound after which the router asks to be
-	// left alone, so that callers reach routers that can take their keys.
-	readyPart = 0.75
+	// cutOffTime is for how long the plan may be out of reach before the router
+	// sends callers away, so that they reach routers that can take their keys.
+	cutOffTime = 500 * time.Millisecond
 )
 
 // outdated reports whether the plan was last known to be the newest longer ago
@@ -24,6 +24,24 @@
 	return !ok || r.options.clock()-asOf > time.Duration(part*float64(bound))
 }
 
+// cutOff reports whether the router is losing touch with the plan though keys
+// depend on it.
+func (r *relay) cutOff() bool {
+	return r.options.bounds.Revocation > 0 && r.options.away() > cutOffTime
+}
+
+// refuseOutdated refuses a request since the plan is too old to tell whether it
+// may run. If another router knows a newer one, the caller may go there at
+// once.
+func (x *exchange) refuseOutdated() {
+	x.relay.meters.stale.Inc(1)
+	after := later
+	if x.relay.options.others(time.Duration(keyPart * float64(x.relay.options.bounds.Revocation))) {
+		after = atOnce
+	}
+	x.refuse("plan outdated", after)
+}
+
 // age returns for how long the plan has not been known to be the newest.
 func (r *relay) age() time.Duration {
 	asOf, ok := r.options.asOf()
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -149,6 +149,8 @@
 		zone:    config.Zone,
 		bounds:  config.Bounds,
 		asOf:    n.plans.AsOf,
+		away:    n.plans.Away,
+		others:  func(bound time.Duration) bool { return n.notices.AnyNewer(bound) },
 		log:     n.log,
 		metrics: n.metrics,
 	})
@@ -156,6 +158,7 @@
 		Address: config.Peers,
 		Seeds:   config.Seeds,
 		Board:   n.relay.board,
+		Age:     n.relay.age,
 		Report:  func(err error) { n.log.Problem(err).Msg("note lost") },
 	})
 	return n
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -34,6 +34,13 @@
 	// the newest, and false before the first one.
 	asOf func() (time.Duration, bool)
 
+	// away returns for how long the plan has been out of reach, or zero.
+	away func() time.Duration
+
+	// others reports whether another router has a plan that is known to be
+	// newer than the bound.
+	others func(bound time.Duration) bool
+
 	log     *decision.Log
 	metrics metrics.Registry
 }
@@ -184,14 +191,14 @@
 	if r.stopping.Load() != 0 || r.view.Load() == nil || len(*r.servers.Load()) == 0 {
 		return false
 	}
-	return !r.outdated(readyPart)
+	return !r.cutOff()
 }
 
 // ServeHTTP implements http.Handler.
 func (r *relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inflight.Add(1)
 	defer r.inflight.Add(-1)
-	if r.stopping.Load() != 0 {
+	if r.stopping.Load() != 0 || r.cutOff() {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{relay: r, writer: w, request: request, arrived: time.Now()}
