Count stalls as failures, tell them to other routers, move streams off leaving servers

Change: an attempt without progress counts as a failure of its server at once, notes carry the share of failures; long streams are moved when a server leaves.

--- a/router/internal/notice/codec.go
+++ b/router/internal/notice/codec.go
@@ -36,6 +36,7 @@
 	Server  uint32
 	Reading int
 	Running int
+	Failing float32
 }
 
 // wireDemand is a service's demand on the wire.
@@ -52,7 +53,9 @@
 func encode(m message) ([]byte, error) {
 	w := wireMessage{AgeMS: m.Age.Milliseconds()}
 	for _, l := range m.Note.Loads {
-		w.Loads = append(w.Loads, wireLoad{Server: l.Server, Reading: l.Reading, Running: l.Running})
+		w.Loads = append(w.Loads, wireLoad{
+			Server: l.Server, Reading: l.Reading, Running: l.Running, Failing: float32(l.Failing),
+		})
 	}
 	for _, d := range m.Note.Demands {
 		w.Demands = append(w.Demands, wireDemand{
@@ -83,7 +86,8 @@
 	m := message{Age: time.Duration(w.AgeMS) * time.Millisecond}
 	for _, l := range w.Loads {
 		m.Note.Loads = append(m.Note.Loads, placement.ServerLoad{
-			Server: l.Server, Load: placement.Load{Reading: l.Reading, Running: l.Running},
+			Server: l.Server,
+			Load:   placement.Load{Reading: l.Reading, Running: l.Running, Failing: float64(l.Failing)},
 		})
 	}
 	for _, d := range w.Demands {
--- a/router/internal/placement/peers.go
+++ b/router/internal/placement/peers.go
@@ -7,6 +7,10 @@
 // peerMemory is how long what a router told counts when it tells no more.
 const peerMemory = 1500 * time.Millisecond
 
+// toldFailing is the share of failed requests from which on other routers are
+// told of a server where nothing runs.
+const toldFailing = 0.05
+
 // Note is what a router tells the others of its own requests. Servers and
 // services are named by hashes.
 type Note struct {
@@ -48,12 +52,13 @@
 	defer b.mu.Unlock()
 	var note Note
 	for _, s := range b.servers {
-		if s.running == 0 {
+		s.fade(now)
+		if s.running == 0 && s.failing < toldFailing {
 			continue
 		}
 		note.Loads = append(note.Loads, ServerLoad{
 			Server: short(s.hash),
-			Load:   Load{Reading: s.reading, Running: s.running},
+			Load:   Load{Reading: s.reading, Running: s.running, Failing: s.failing},
 		})
 	}
 	for _, s := range b.services {
@@ -102,11 +107,18 @@
 func (b *Board) sumPeers() {
 	for _, s := range b.servers {
 		s.peers = Load{}
+		told := 0
 		for _, p := range b.peers {
-			l := p.loads[short(s.hash)]
+			l, ok := p.loads[short(s.hash)]
+			if !ok {
+				continue
+			}
+			told++
 			s.peers.Reading += l.Reading
 			s.peers.Running += l.Running
+			s.peers.Failing += l.Failing
 		}
+		s.peers.Failing /= float64(max(told, 1))
 	}
 	for _, s := range b.services {
 		s.peerUrgent, s.peerPatient = 0, 0
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -72,6 +72,9 @@
 	// the number of requests in progress.
 	Reading int
 	Running int
+
+	// Failing is the smoothed share of failed requests.
+	Failing float64
 }
 
 // newServer returns what is believed of a server at first.
@@ -119,7 +122,9 @@
 func (s *server) slowness() float64 { return max(s.pace/usualPace, 1) }
 
 // unreliable returns the share of requests that fail beyond what is harmless.
-func (s *server) unreliable() float64 { return max(s.failing-harmless, 0) }
+func (s *server) unreliable() float64 {
+	return max(s.failing-harmless, s.peers.Failing-harmless, 0)
+}
 
 // backlog returns the prompt tokens that wait at the server.
 func (s *server) backlog() int { return s.reading + s.peers.Reading }
--- a/router/internal/placement/ticket.go
+++ b/router/internal/placement/ticket.go
@@ -69,6 +69,13 @@
 	t.reading = 0
 }
 
+// Stalled notes that nothing came for longer than a server that is well takes.
+func (t *Ticket) Stalled(now time.Time) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	t.server.failed(now, true)
+}
+
 // learnSpeed learns from the time of the reading. The caller holds the board's
 // mutex.
 func (t *Ticket) learnSpeed(measured time.Duration) {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -32,14 +32,13 @@
 	// before it is given up.
 	rejections = 3
 
-	// stallFactor and stallTargets bound how long a request that can be
-	// repeated waits for its answer: a multiple of the expected time and of
-	// the target of its class.
+	// stallFactor and stallTargets bound how long a request waits for its
+	// answer before its server counts as stalled: a multiple of the expected
+	// time and of the target of its class.
 	stallFactor  = 8
 	stallTargets = 2
 
-	// gapFactor and gapFloor bound the pause between events of a stream that
-	// can be resumed.
+	// gapFactor and gapFloor bound the pause between events of a stream.
 	gapFactor = 4
 	gapFloor  = 800 * time.Millisecond
 
@@ -100,6 +99,9 @@
 			x.abandoned()
 			return
 		}
+		if x.continueMoved(ctx) {
+			return
+		}
 		if reason := x.final(ctx, outcome); reason != "" {
 			x.logFailure(outcome, err)
 			x.giveUp(ctx, outcome, reason)
@@ -136,6 +138,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	x.relay.streams.enter(x, target.ID)
+	defer x.relay.streams.leave(x)
 	watch := x.watch(ticket, cancel)
 	defer watch.stop()
 	answer, err := target.pool.Send(ctx, x.hopRequest(target))
@@ -201,6 +205,7 @@
 		Rank:     x.rank,
 		Ranks:    len(x.view.ranks),
 		After:    x.last,
+		Copy:     x.copy,
 	})
 	return hop.Request{
 		Method: x.request.Method,
--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -55,6 +56,33 @@
 
 	// After is the last event that the caller has, for a stream that goes on.
 	After string
+
+	// Copy is the copy of the run's memory that the server starts from, if the
+	// run was moved there.
+	Copy Copy
+}
+
+// Copy is the memory of a run at the moment that it was moved.
+type Copy struct {
+	// Source is the address of the server that the run was moved from, Handle
+	// the name that this server gave the copy.
+	Source string
+	Handle string
+}
+
+// Move asks a server to hand a run to another one. The run stops and its
+// stream breaks off.
+type Move struct {
+	Attempt     string
+	Source      string
+	Destination string
+}
+
+// Mover moves runs between backend servers.
+type Mover interface {
+	// Move returns when the copy is complete. An error that carries a handle
+	// in the copy means that the run stopped and its memory is at the source.
+	Move(ctx context.Context, move Move) (Copy, error)
 }
 
 // Note is what the header of a backend server's answer says.
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -58,6 +58,10 @@
 	// firstAfter is the time from the arrival to the first byte of the answer.
 	firstAfter time.Duration
 
+	// copy is the memory that the next attempt starts from, if the run was
+	// moved.
+	copy Copy
+
 	// fallback is a server's answer that is given if no other server has a
 	// better one.
 	fallback *wholeAnswer
--- /dev/null
+++ b/router/relay/move.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/placement"
+)
+
+const (
+	// moveAfter is the part of the drain time after which streams are moved
+	// off a leaving server. Short ones have ended by then, and the rest of the
+	// time suffices for the copies.
+	moveAfter = 0.3
+
+	// moveTimeout bounds the copying of a run's memory.
+	moveTimeout = 1500 * time.Millisecond
+)
+
+// errNotMoved says that a run could not be moved.
+const errNotMoved = errors.ConstError("run not moved")
+
+// moved is the outcome of a move.
+type moved struct {
+	copy   Copy
+	ticket *placement.Ticket
+	choice placement.Choice
+	err    error
+}
+
+// evacuate moves the streams off a server that leaves, once the short ones
+// have ended.
+func (r *relay) evacuate(server Server) {
+	v := r.view.Load()
+	if v == nil || r.options.mover == nil {
+		return
+	}
+	service, ok := v.services[server.Service]
+	if !ok || !service.Moves {
+		return
+	}
+	drain := r.options.bounds.Drain
+	leaves := time.Now().Add(drain)
+	time.AfterFunc(time.Duration(moveAfter*float64(drain)), func() {
+		for x, at := range r.streams.at(server.ID) {
+			if !x.endsBefore(leaves, at, service.Stride) {
+				go x.moveAway(server)
+			}
+		}
+	})
+}
+
+// endsBefore reports whether a stream is expected to end before a time at the
+// pace that it had so far.
+func (x *exchange) endsBefore(limit time.Time, at stream, stride int) bool {
+	expected := x.work.Output / max(stride, 1)
+	if expected <= at.events {
+		return true // Past its expected length; nothing is known of the rest.
+	}
+	pace := time.Since(at.first) / time.Duration(at.events)
+	return time.Now().Add(pace * time.Duration(expected-at.events)).Before(limit)
+}
+
+// moveAway moves the stream from a server to another one. It runs beside the
+// goroutine that serves the request, which learns the outcome when the stream
+// at the old server breaks off.
+func (x *exchange) moveAway(server Server) {
+	r := x.relay
+	if !r.repeats.Take(time.Now(), x.service) {
+		return
+	}
+	outcome := r.streams.claim(x, server.ID)
+	if outcome == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.request.Context(), moveTimeout)
+	defer cancel()
+	m := x.move(ctx, server)
+	if m.err != nil && m.copy.Handle == "" {
+		r.streams.unclaim(x)
+	}
+	outcome <- m
+	r.options.log.Change().Str("request", x.call.Attempt).Str("from", server.ID).Str("to", m.choice.Server).
+		AnErr("error", m.err).Msg("stream moved")
+}
+
+// move has the memory of the run copied to another server.
+func (x *exchange) move(ctx context.Context, server Server) moved {
+	r := x.relay
+	ticket, choice, ok := r.board.Pick(time.Now(), x.work, []string{server.ID})
+	if !ok {
+		return moved{err: fmt.Errorf("%w: no other server", errNotMoved)}
+	}
+	m := moved{ticket: ticket, choice: choice}
+	target, ok := (*r.servers.Load())[choice.Server]
+	if !ok {
+		ticket.Done(time.Now(), placement.Left)
+		m.err = fmt.Errorf("%w: server %s gone", errNotMoved, choice.Server)
+		return m
+	}
+	m.copy, m.err = r.options.mover.Move(ctx, Move{
+		Attempt: x.call.Attempt, Source: server.Address, Destination: target.Address,
+	})
+	if m.err != nil {
+		ticket.Done(time.Now(), placement.Left)
+	}
+	return m
+}
+
+// continueMoved goes on with a request whose run was moved. It returns false if
+// none was, or if it failed there as well and the caller may try elsewhere.
+func (x *exchange) continueMoved(ctx context.Context) bool {
+	outcome := x.relay.streams.take(x)
+	if outcome == nil {
+		return false
+	}
+	var m moved
+	select {
+	case m = <-outcome:
+	case <-ctx.Done():
+		return false
+	}
+	if m.err != nil {
+		return false
+	}
+	x.copy = m.copy
+	x.choice = m.choice
+	x.tried = append(x.tried, m.choice.Server)
+	x.runs-- // The run is the same one.
+	result, err := x.attempt(ctx, m.ticket)
+	x.copy = Copy{}
+	if result == answered {
+		x.served()
+		return true
+	}
+	x.logRepeat(result, err)
+	return false
+}
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -46,8 +46,11 @@
 	// Memory is the VM's memory for the process in bytes, or zero.
 	Memory int64
 
-	Bounds  Bounds
-	Codec   Codec
+	Bounds Bounds
+	Codec  Codec
+
+	// Mover moves runs between engines. Without one, runs are not moved.
+	Mover   Mover
 	Plans   feed.Source[Plan]
 	Servers feed.Source[Server]
 
@@ -145,6 +148,7 @@
 	})
 	n.relay = newRelay(options{
 		codec:   config.Codec,
+		mover:   config.Mover,
 		clock:   config.Clock,
 		zone:    config.Zone,
 		bounds:  config.Bounds,
--- a/router/relay/plan.go
+++ b/router/relay/plan.go
@@ -91,6 +91,12 @@
 	// zero for a plain service.
 	Slots int
 
+	// Stride is the number of tokens in an event of a model engine's stream.
+	Stride int
+
+	// Moves says that the engines can hand a running request to each other.
+	Moves bool
+
 	// CacheTokens is the size of a model engine's KV cache.
 	CacheTokens int64
 }
@@ -142,6 +148,9 @@
 	// Zero means that there is no such bound.
 	Revocation time.Duration
 
+	// Drain is how long a leaving server serves at least after it told so.
+	Drain time.Duration
+
 	// Grace is the time between the signal to stop and the end by force.
 	Grace time.Duration
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -26,6 +26,7 @@
 // options are what a relay is made with.
 type options struct {
 	codec  Codec
+	mover  Mover
 	clock  feed.Clock
 	zone   string
 	bounds Bounds
@@ -50,6 +51,7 @@
 	options options
 	board   *placement.Board
 	repeats *repeat.Budget
+	streams *streams
 	meters  meters
 
 	view     atomic.Pointer[view]
@@ -72,6 +74,7 @@
 	r := &relay{
 		options: options,
 		board:   placement.NewBoard(options.zone),
+		streams: newStreams(),
 		repeats: repeat.NewBudget(options.bounds.RetryRatio, options.bounds.RetryWindow),
 		meters:  newMeters(options.metrics),
 	}
@@ -131,6 +134,7 @@
 	for id, t := range old {
 		if kept, ok := next[id]; !ok || kept.pool != t.pool {
 			t.pool.Close()
+			r.evacuate(t.Server)
 			r.options.log.Change().Str("server", id).Msg("backend server gone")
 		}
 	}
@@ -168,6 +172,7 @@
 			Bool("leaving", s.Leaving).Msg("backend server learned")
 	case s.Leaving && !old.Leaving:
 		r.options.log.Change().Str("server", s.ID).Msg("backend server leaving")
+		r.evacuate(s)
 	}
 }
 
--- /dev/null
+++ b/router/relay/relay_test.go
@@ -0,0 +1,177 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"snipetally.example/coordination/feed"
+	"snipetally.example/router/relay"
+)
+
+// planOf returns a plan with the classes.
+func planOf(classes ...relay.Class) relay.Plan {
+	return relay.Plan{Version: 1, Classes: classes, Services: []relay.Service{{Name: "s"}}}
+}
+
+func TestNoPlanIsNoReasonToDenyARequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, _ := start(t, relay.Plan{})
+	r.await(t, func() bool { return r.call(t, http.MethodGet, "/a/x", "").status != 0 })
+	got := r.call(t, http.MethodGet, "/a/x", "")
+	g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(after).To(gomega.BeNumerically(">", 0))
+	g.Expect(r.isReady(t)).To(gomega.BeFalse())
+}
+
+func TestLongestPrefixSelectsTheClass(t *testing.T) {
+	g := gomega.NewWithT(t)
+	outer, inner := class("a", relay.Idempotent, 1), class("a/b", relay.Idempotent, 1)
+	inner.Splits = []relay.Split{{Service: "none", Weight: 1}}
+	r, backends := start(t, planOf(outer, inner), serve("outer"))
+	g.Expect(r.call(t, http.MethodGet, "/a/x?y=1", "").body).To(gomega.Equal("outer"))
+	g.Expect(r.call(t, http.MethodGet, "/a/b/x", "").status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(r.call(t, http.MethodGet, "/c/", "").status).To(gomega.Equal(http.StatusNotFound))
+	g.Expect(backends[0].arrived.Load()).To(gomega.Equal(int32(1)))
+}
+
+func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, backends := start(t, planOf(class("a", relay.Once, 3)), reset, reset)
+	got := r.call(t, http.MethodGet, "/a/x", "")
+	g.Expect(got.status).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(backends[0].arrived.Load() + backends[1].arrived.Load()).To(gomega.Equal(int32(1)))
+}
+
+func TestRejectedRequestGoesToAnotherServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	full := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(unrunHeader, "yes")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	r, _ := start(t, planOf(class("a", relay.Once, 1)), full, serve("ok"))
+	for range 5 {
+		got := r.call(t, http.MethodPost, "/a/x", "")
+		g.Expect(got.body).To(gomega.Equal("ok"))
+	}
+}
+
+func TestIdempotentRequestIsRepeatedWithinItsAttempts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fails := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(signedHeader, "yes")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	r, backends := start(t, planOf(class("a", relay.Idempotent, 2)), fails, fails, fails)
+	got := r.call(t, http.MethodGet, "/a/x", "")
+	g.Expect(got.status).To(gomega.Equal(http.StatusInternalServerError))
+	g.Expect(got.header.Get(signedHeader)).To(gomega.Equal("yes"))
+	total := int32(0)
+	for _, b := range backends {
+		total += b.arrived.Load()
+	}
+	g.Expect(total).To(gomega.Equal(int32(2)))
+}
+
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	unsigned := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+	r, _ := start(t, planOf(class("a", relay.Once, 1)), unsigned)
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "").status).To(gomega.Equal(http.StatusBadGateway))
+}
+
+func TestBrokenStreamGoesOnAtAnotherServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stream := class("a", relay.Stream, 2)
+	stream.Resumable = true
+	// Both break off when they begin and go on to the end when resumed.
+	flaky := func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get(afterHeader) == "" {
+			events(1, 3, false)(w, q)
+			return
+		}
+		events(1, 5, true)(w, q)
+	}
+	r, _ := start(t, planOf(stream), flaky, flaky)
+	got := r.call(t, http.MethodPost, "/a/x", "")
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.body).To(gomega.Equal(
+		"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\n"))
+}
+
+func TestBrokenStreamThatCannotGoOnDoesNotLookWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, backends := start(t, planOf(class("a", relay.Stream, 2)), events(1, 3, false), events(1, 3, false))
+	got := r.call(t, http.MethodPost, "/a/x", "")
+	g.Expect(got.err).To(gomega.HaveOccurred())
+	g.Expect(backends[0].arrived.Load() + backends[1].arrived.Load()).To(gomega.Equal(int32(1)))
+}
+
+func TestKeysDecideTheTeam(t *testing.T) {
+	g := gomega.NewWithT(t)
+	plan := planOf(class("a", relay.Idempotent, 1))
+	plan.Teams = []relay.Team{{Name: "red", Keys: []string{"k1"}}}
+	team := func(w http.ResponseWriter, q *http.Request) {
+		serve(q.Header.Get(teamHeader)+","+q.Header.Get(keyHeader))(w, q)
+	}
+	r, _ := start(t, plan, team)
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "k1").body).To(gomega.Equal("red,"))
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "k2").status).To(gomega.Equal(http.StatusUnauthorized))
+}
+
+// TestKeysAreRefusedWhenTheyMayBeWithdrawn suspends the VM: its clock jumps
+// while the table is away. Requests without a key go on.
+func TestKeysAreRefusedWhenTheyMayBeWithdrawn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	open := class("open", relay.Idempotent, 1)
+	open.Public = true
+	plan := planOf(class("a", relay.Idempotent, 1), open)
+	plan.Teams = []relay.Team{{Name: "red", Keys: []string{"k1"}}}
+	r, _ := start(t, plan, serve("ok"))
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "k1").body).To(gomega.Equal("ok"))
+	r.plans.setAway(true)
+	r.ahead.Add(int64(revocation))
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "k1").status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "unknown").status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(r.call(t, http.MethodGet, "/open/x", "").body).To(gomega.Equal("ok"))
+	r.plans.setAway(false)
+	r.await(t, func() bool { return r.call(t, http.MethodGet, "/a/x", "k1").body == "ok" })
+}
+
+func TestPlanNeverGoesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	newer := planOf(class("a", relay.Idempotent, 1))
+	newer.Version = 9
+	r, _ := start(t, newer, serve("ok"))
+	older := planOf(class("b", relay.Idempotent, 1))
+	older.Version = 8
+	r.plans.set(feed.Change[relay.Plan]{Key: "plan", Value: older})
+	next := planOf(class("a", relay.Idempotent, 1), class("c", relay.Idempotent, 1))
+	next.Version = 12
+	g.Expect(r.call(t, http.MethodGet, "/b/x", "").status).To(gomega.Equal(http.StatusNotFound))
+	r.plans.set(feed.Change[relay.Plan]{Key: "plan", Value: next})
+	r.await(t, func() bool { return r.call(t, http.MethodGet, "/c/x", "").body == "ok" })
+	g.Expect(r.dump(t)).To(gomega.HaveKeyWithValue("Version", 12.0))
+}
+
+func TestLeavingServerGetsNoNewRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, backends := start(t, planOf(class("a", relay.Idempotent, 1)), serve("stays"), serve("leaves"))
+	rows := []feed.Change[relay.Server]{
+		{Key: "server-0", Value: relay.Server{ID: "server-0", Service: "s", Address: backends[0].server.Listener.Addr().String()}},
+		{Key: "server-1", Value: relay.Server{
+			ID: "server-1", Service: "s", Address: backends[1].server.Listener.Addr().String(), Leaving: true,
+		}},
+	}
+	r.servers.set(rows...)
+	r.await(t, func() bool { return len(r.dump(t)["Servers"].([]any)) == 1 })
+	before := backends[1].arrived.Load()
+	for range 10 {
+		g.Expect(r.call(t, http.MethodGet, "/a/x", "").body).To(gomega.Equal("stays"))
+	}
+	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -90,12 +90,13 @@
 	if err := http.NewResponseController(x.writer).Flush(); err != nil {
 		return fmt.Errorf("flush events: %w", err)
 	}
+	x.relay.streams.progress(x)
 	return nil
 }
 
 // resumedPast reports whether the caller has the event from an earlier server.
 func (x *exchange) resumedPast(id string) bool {
-	if x.runs == 0 || id == "" || x.last == "" {
+	if (x.runs == 0 && x.copy.Handle == "") || id == "" || x.last == "" {
 		return false
 	}
 	now, err := strconv.ParseInt(id, 10, 64)
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -7,26 +7,28 @@
 	"snipetally.example/router/internal/placement"
 )
 
-// watchdog ends an attempt that makes no progress. It does nothing for requests
-// that can't be repeated.
+// watchdog notices an attempt that makes no progress. It tells the board, and
+// ends the attempt if another server may take the request.
 type watchdog struct {
 	timer *time.Timer
 	gap   time.Duration
 }
 
-// watch starts a watchdog for an attempt. It is nil-safe: requests that can't
-// go to another server are not watched.
+// watch starts a watchdog for an attempt.
 func (x *exchange) watch(ticket *placement.Ticket, cancel context.CancelCauseFunc) *watchdog {
-	if !x.class.Repeatable() || x.runs+1 >= max(x.class.Attempts, 1) {
-		return &watchdog{}
-	}
 	first := max(stallFactor*ticket.Expected(), stallTargets*x.class.Target)
 	if x.begun {
 		first = max(first, x.gapLimit())
 	}
+	other := x.class.Repeatable() && x.runs+1 < max(x.class.Attempts, 1)
 	return &watchdog{
-		timer: time.AfterFunc(first, func() { cancel(errStalled) }),
-		gap:   x.gapLimit(),
+		timer: time.AfterFunc(first, func() {
+			ticket.Stalled(time.Now())
+			if other {
+				cancel(errStalled)
+			}
+		}),
+		gap: x.gapLimit(),
 	}
 }
 
@@ -36,15 +38,7 @@
 }
 
 // progress notes an event.
-func (w *watchdog) progress() {
-	if w.timer != nil {
-		w.timer.Reset(w.gap)
-	}
-}
+func (w *watchdog) progress() { w.timer.Reset(w.gap) }
 
 // stop ends the watch.
-func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
+func (w *watchdog) stop() { w.timer.Stop() }
