--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"time"
 )
 
@@ -95,14 +96,14 @@
 		choice.Urgent = len(other)
 	}
 	var chosen *server
-	for i, m := range ranked {
-		cost := s.engineCost(now, m, work, i == 0) + float64(min(i, maxRank))*rankCost
+	for i, m := range ranked[:min(len(ranked), choices)] {
+		cost := s.engineCost(now, m, work, i == 0) + float64(i)*rankCost
 		if m.Zone != zone {
 			cost += zoneCost
 		}
 		choice.consider(&chosen, m, cost, i == 0)
 	}
-	for _, m := range other {
+	for _, m := range sample(other, foreignChoices) {
 		read := float64(work.Prompt-work.common) / s.speed
 		cost := s.engineCost(now, m, work, false) + foreignWeight*read + foreignCost
 		choice.consider(&chosen, m, cost, false)
@@ -111,8 +112,14 @@
 }
 
 const (
-	// maxRank is the rank from which on a session prefers no server.
-	maxRank = 3
+	// choices is the number of servers of its group that a session may go to.
+	// Routers know each other's work late; if all of them looked at all
+	// servers, they would flock to the same one.
+	choices = 4
+
+	// foreignChoices is the number of servers of the other group that are
+	// looked at, drawn at random.
+	foreignChoices = 2
 
 	// foreignCost keeps requests in the range of their group, in seconds.
 	foreignCost = 0.05
@@ -155,6 +162,18 @@
 	return s.residence * float64(ahead) / float64(slots)
 }
 
+// sample returns n of the servers, drawn at random.
+func sample(servers []*server, n int) []*server {
+	if len(servers) <= n {
+		return servers
+	}
+	drawn := make([]*server, 0, n)
+	for _, i := range rand.Perm(len(servers))[:n] {
+		drawn = append(drawn, servers[i])
+	}
+	return drawn
+}
+
 // rank orders servers by their rendezvous hash for a session.
 func rank(session uint64, servers []*server) []*server {
 	if session == 0 {
