--- /dev/null
+++ b/router/internal/decision/log_test.go
@@ -0,0 +1,93 @@
+package decision_test
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"snipetally.example/router/internal/decision"
+)
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+func TestBlockedOutputHoldsNobody(t *testing.T) {
+	out := blocked{release: make(chan struct{})}
+	log := decision.New(out, "vm")
+	for range 100000 {
+		log.Request().Str("request", "r").Msg("request ended")
+	}
+	close(out.release)
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// buffer is a buffer that two goroutines may use.
+type buffer struct {
+	mu    sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes.Write(p)
+}
+
+func TestFloodOfSuccessesIsThinnedAndTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out buffer
+	log := decision.New(&out, "vm")
+	now := time.Unix(1e9, 0)
+	for range 1000 {
+		log.Routine(now).Msg("served")
+	}
+	log.Routine(now.Add(time.Second)).Msg("served")
+	g.Expect(log.Close()).To(gomega.Succeed())
+	text := out.bytes.String()
+	g.Expect(strings.Count(text, "served")).To(gomega.Equal(21))
+	g.Expect(text).To(gomega.ContainSubstring(`"omitted":980`))
+}
+
+const logs = `   1.0 edge-1 {"vm":"a","time":"2030-01-01T00:00:10Z","message":"table lost"}
+{"vm":"a","time":"2030-01-01T00:00:11Z","request":"r1","message":"request ended"}
+not a line of ours
+{"vm":"a","time":"2030-01-01T00:00:30Z","message":"table regained"}
+{"vm":"b","time":"2030-01-01T00:00:11Z","message":"plan in force"}
+{"vm":"a","time":"2030-01-01T00:00:11Z","request":"r2","message":"served"}
+`
+
+func TestExplainTellsARequestAndWhatItsRouterBelieved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(decision.Explain(&out, "r1", strings.NewReader(logs))).To(gomega.Succeed())
+	g.Expect(out.String()).To(gomega.ContainSubstring("request ended"))
+	g.Expect(out.String()).To(gomega.ContainSubstring("table lost"))
+	for _, other := range []string{"table regained", "plan in force", "served"} {
+		g.Expect(out.String()).NotTo(gomega.ContainSubstring(other))
+	}
+	out.Reset()
+	g.Expect(decision.Explain(&out, "r9", strings.NewReader(logs))).To(gomega.Succeed())
+	g.Expect(out.String()).To(gomega.ContainSubstring("no line about request r9"))
+}
+
+// failing is an output that fails.
+type failing struct{}
+
+func (failing) Write([]byte) (int, error) { return 0, errors.New("full") }
+
+func TestExplainTellsAFailedOutput(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(decision.Explain(failing{}, "r1", strings.NewReader(logs))).NotTo(gomega.Succeed())
+}
--- a/router/internal/placement/belief.go
+++ b/router/internal/placement/belief.go
@@ -7,6 +7,7 @@
 	ID        string
 	Service   string
 	Zone      string
+	Engine    bool
 	Reading   int
 	Running   int
 	Peers     Load
@@ -24,7 +25,7 @@
 	for _, s := range b.servers {
 		s.fade(now)
 		beliefs = append(beliefs, Belief{
-			ID: s.ID, Service: s.Service, Zone: s.Zone,
+			ID: s.ID, Service: s.Service, Zone: s.Zone, Engine: s.Engine,
 			Reading: s.reading, Running: s.running, Peers: s.peers,
 			Failing: s.failing, Pace: s.pace,
 			Hanging: s.hanging(now), Suspended: now.Before(s.suspended),
--- a/router/internal/repeat/budget.go
+++ b/router/internal/repeat/budget.go
@@ -21,14 +21,14 @@
 // Budget counts requests and repeats by service in a sliding window. Its
 // methods are safe for concurrent use.
 type Budget struct {
-	ratio float64
-	span  time.Duration
+	span time.Duration
 
 	// start is the moment that parts of time are counted from.
 	start time.Time
 
-	// mu guards services.
+	// mu guards the fields below.
 	mu       sync.Mutex
+	ratio    float64
 	services map[string]*window
 }
 
@@ -44,6 +44,13 @@
 	return &Budget{ratio: ratio, span: span, start: time.Now(), services: make(map[string]*window)}
 }
 
+// SetRatio changes the ratio.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+}
+
 // Request counts a caller's request for a service.
 func (b *Budget) Request(now time.Time, service string) {
 	b.mu.Lock()
--- a/router/relay/move.go
+++ b/router/relay/move.go
@@ -42,7 +42,7 @@
 	if !ok || !service.Moves {
 		return
 	}
-	drain := r.options.bounds.Drain
+	drain := r.bounds.Load().Drain
 	leaves := time.Now().Add(drain)
 	time.AfterFunc(time.Duration(moveAfter*float64(drain)), func() {
 		for x, at := range r.streams.at(server.ID) {
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -47,7 +47,13 @@
 	Memory int64
 
 	Bounds Bounds
-	Codec  Codec
+
+	// Reload reads the bounds anew from the settings. It is called when the
+	// process is told that they changed, and from time to time. Nil means that
+	// they never change.
+	Reload func() (Bounds, error)
+
+	Codec Codec
 
 	// Mover moves runs between engines. Without one, runs are not moved.
 	Mover   Mover
@@ -86,6 +92,10 @@
 	lingerPart = 0.37
 	finishPart = 0.93
 
+	// reloadPeriod is the time between two looks at the settings, which may
+	// change without a signal.
+	reloadPeriod = 5 * time.Second
+
 	// drainStep is the time between two looks at the requests in progress.
 	drainStep = 50 * time.Millisecond
 
@@ -208,6 +218,7 @@
 	n.log.Change().Str("zone", n.config.Zone).Str("callers", n.config.Callers).Msg("router started")
 	var group run.Group
 	group.Add(func() error { return n.awaitStop(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return n.followSettings(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.plans.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.servers.Run(ctx) }, func(error) { cancel() })
 	if n.config.Peers.IsValid() {
@@ -289,7 +300,7 @@
 		return fmt.Errorf("await stop: %w", ctx.Err())
 	case <-signals:
 	}
-	grace := n.config.Bounds.Grace
+	grace := n.relay.bounds.Load().Grace
 	linger := time.Duration(lingerPart * float64(grace))
 	finish := n.config.Clock() + time.Duration(finishPart*float64(grace))
 	n.relay.stop(linger)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -59,6 +59,9 @@
 	inflight atomic.Int64
 	stopping atomic.Int64
 
+	// bounds are the promises in force. Operators may change them.
+	bounds atomic.Pointer[Bounds]
+
 	// install orders the changes of view and servers.
 	install sync.Mutex
 }
@@ -79,6 +82,7 @@
 		meters:  newMeters(options.metrics),
 	}
 	r.servers.Store(&map[string]*target{})
+	r.bounds.Store(&options.bounds)
 	return r
 }
 
@@ -142,6 +146,12 @@
 	r.place()
 }
 
+// setBounds puts other promises in force.
+func (r *relay) setBounds(bounds Bounds) {
+	r.bounds.Store(&bounds)
+	r.repeats.SetRatio(bounds.RetryRatio)
+}
+
 // place tells the board which servers take work and what kind they are. The
 // plan knows the kind and may come after the servers. The caller holds
 // r.install.
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -175,3 +175,19 @@
 	}
 	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
 }
+
+// TestKindOfServersIsKnownWhicheverTableComesFirst has a router that learns its
+// servers while it knows no plan. The state dump tells the kind.
+func TestKindOfServersIsKnownWhicheverTableComesFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, _ := start(t, relay.Plan{}, serve("ok"))
+	r.await(t, func() bool { return r.call(t, http.MethodGet, "/a/x", "").status != 0 })
+	plan := planOf(class("a", relay.Stream, 1))
+	plan.Version = 3
+	plan.Services[0].Slots = 16
+	r.plans.set(feed.Change[relay.Plan]{Key: "plan", Value: plan})
+	r.await(t, func() bool { return r.isReady(t) })
+	servers := r.dump(t)["Servers"].([]any)
+	g.Expect(servers).To(gomega.HaveLen(1))
+	g.Expect(servers[0]).To(gomega.HaveKeyWithValue("Engine", true))
+}
--- /dev/null
+++ b/router/relay/settings.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// followSettings takes changed bounds. The signal for it never ends the
+// process.
+func (n *Node) followSettings(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("follow settings: %w", ctx.Err())
+		case <-signals:
+			n.log.Change().Msg("told that settings changed")
+		case <-ticker.C:
+		}
+		n.reload()
+	}
+}
+
+// reload reads the bounds and puts them in force if they changed. Settings that
+// can't be read change nothing.
+func (n *Node) reload() {
+	if n.config.Reload == nil {
+		return
+	}
+	next, err := n.config.Reload()
+	if err != nil {
+		n.log.Problem(err).Msg("settings can't be used")
+		return
+	}
+	if next == *n.relay.bounds.Load() {
+		return
+	}
+	n.relay.setBounds(next)
+	n.log.Change().Dur("revocation", next.Revocation).Dur("drain", next.Drain).Dur("grace", next.Grace).
+		Float64("ratio", next.RetryRatio).Msg("settings changed")
+}
