--- a/router/internal/hop/hop.go
+++ b/router/internal/hop/hop.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/link"
 )
 
 const (
@@ -29,24 +31,6 @@
 	lateBytes   = 64 << 10
 )
 
-// Failure is the error of an exchange without an answer.
-type Failure struct {
-	// Sent says that a byte of the request can have reached the server.
-	Sent bool
-
-	// Reused says that the connection had served another exchange.
-	Reused bool
-	Err    error
-}
-
-// Error implements error.
-func (f *Failure) Error() string {
-	return fmt.Sprintf("exchange failed (sent %t): %v", f.Sent, f.Err)
-}
-
-// Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.Err }
-
 // Request is what one exchange sends.
 type Request struct {
 	Method string
@@ -86,14 +70,14 @@
 }
 
 // Send makes one exchange and returns when the head of the answer has come.
-// The error is a *Failure. When the context ends, the connection is closed,
+// The error is a *link.Failure. When the context ends, the connection is closed,
 // also while the body is being read.
 func (p *Pool) Send(ctx context.Context, r Request) (*Answer, error) {
 	c := p.take(time.Now())
 	if c == nil {
 		fresh, err := dial(ctx, p.address)
 		if err != nil {
-			return nil, &Failure{Err: err}
+			return nil, &link.Failure{Err: err}
 		}
 		c = fresh
 	}
@@ -105,7 +89,7 @@
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
-		return nil, &Failure{Sent: true, Reused: c.reused, Err: err}
+		return nil, &link.Failure{Sent: true, Reused: c.reused, Err: err}
 	}
 	answer.release = release
 	return answer, nil
--- a/router/internal/notice/codec.go
+++ b/router/internal/notice/codec.go
@@ -36,6 +36,7 @@
 	Server  uint32
 	Reading int
 	Running int
+	Held    int
 	Failing float32
 }
 
@@ -54,7 +55,7 @@
 	w := wireMessage{AgeMS: m.Age.Milliseconds()}
 	for _, l := range m.Note.Loads {
 		w.Loads = append(w.Loads, wireLoad{
-			Server: l.Server, Reading: l.Reading, Running: l.Running, Failing: float32(l.Failing),
+			Server: l.Server, Reading: l.Reading, Running: l.Running, Held: l.Held, Failing: float32(l.Failing),
 		})
 	}
 	for _, d := range m.Note.Demands {
@@ -87,7 +88,9 @@
 	for _, l := range w.Loads {
 		m.Note.Loads = append(m.Note.Loads, placement.ServerLoad{
 			Server: l.Server,
-			Load:   placement.Load{Reading: l.Reading, Running: l.Running, Failing: float64(l.Failing)},
+			Load: placement.Load{
+				Reading: l.Reading, Running: l.Running, Held: l.Held, Failing: float64(l.Failing),
+			},
 		})
 	}
 	for _, d := range w.Demands {
--- a/router/internal/placement/belief.go
+++ b/router/internal/placement/belief.go
@@ -21,6 +21,7 @@
 func (b *Board) Beliefs(now time.Time) []Belief {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sumIfDue(now)
 	beliefs := make([]Belief, 0, len(b.servers))
 	for _, s := range b.servers {
 		s.fade(now)
--- a/router/internal/placement/board.go
+++ b/router/internal/placement/board.go
@@ -48,6 +48,11 @@
 	servers  map[string]*server
 	services map[string]*service
 	peers    map[string]*peer
+
+	// unsummed says that a note came that the sums don't hold yet, summed is
+	// when they were made.
+	unsummed bool
+	summed   time.Time
 }
 
 // service is what a board believes of a service as a whole.
@@ -113,7 +118,7 @@
 			return 0
 		})
 	}
-	b.sumPeers()
+	b.unsummed = true
 }
 
 // SetTargets takes the targets of the classes of a service.
@@ -149,8 +154,10 @@
 	// Home says that the server is the one that the session prefers.
 	Home bool
 
-	// First is the expected time to the first event.
-	First time.Duration
+	// First is the expected time to the first event, Excess by how much the
+	// wait is longer than what a busy server takes work for.
+	First  time.Duration
+	Excess time.Duration
 
 	// Speed is the believed speed of the service in tokens a second, Urgent
 	// the number of servers that urgent requests get first.
@@ -172,6 +179,7 @@
 func (b *Board) Pick(now time.Time, work Work, tried []string) (*Ticket, Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sumIfDue(now)
 	of := b.service(work.Service)
 	candidates := of.candidates(now, tried)
 	if len(candidates) == 0 {
@@ -185,7 +193,7 @@
 	} else {
 		chosen, best = of.choosePlain(now, candidates, b.zone)
 	}
-	if chosen.Engine && of.hopeless(chosen, &work, best) {
+	if chosen.Engine && of.hopeless(chosen, &work, &best) {
 		return nil, best, ErrBusy
 	}
 	return b.book(now, &work, of, chosen, best.Home), best, nil
@@ -248,6 +256,8 @@
 		t.queued = s.backlog() + t.reading
 		t.expected = time.Duration(float64(t.queued)/of.speed*float64(time.Second)) + decodeStep
 		s.reading += t.reading
+		t.held = work.needs()
+		s.held += t.held
 		seconds := float64(work.Prompt-work.common)/of.speed + of.decodeSeconds(s, work)
 		if len(work.Parts) > 1 {
 			of.usage.see(now, work.Parts[0].ID)
--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -113,10 +113,14 @@
 }
 
 const (
-	// hopelessTargets is the number of targets within which the first event
-	// has to be expected for a request to be taken by a busy server. Beyond it
-	// all requests of a rush would be late.
-	hopelessTargets = 0.8
+	// hopelessWait is the part of its target that a request may wait at a busy
+	// server. The rest is left for reading the prompt; with longer waits all
+	// requests of a rush would be late.
+	hopelessWait = 0.7
+
+	// crowdWeight is the cost of waiting for an engine's memory, relative to
+	// waiting for a slot: requests are preempted there and read again.
+	crowdWeight = 4
 
 	// choices is the number of servers of its group that a session may go to.
 	// Routers know each other's work late; if all of them looked at all
@@ -157,33 +161,37 @@
 	return cost
 }
 
+// wait returns the expected time until an engine begins a request, in seconds.
+func (s *service) wait(m *server, work *Work) float64 {
+	return float64(m.backlog())/s.speed*m.slowness() + s.slotWait(m, work)
+}
+
 // firstEvent returns the expected time to the first event at an engine, in
 // seconds.
 func (s *service) firstEvent(m *server, work *Work, home bool) float64 {
-	read := float64(work.unread(home)) / s.speed * m.slowness()
-	return read + float64(m.backlog())/s.speed*m.slowness() + s.slotWait(m, work)
+	return s.wait(m, work) + float64(work.unread(home))/s.speed*m.slowness()
 }
 
-// hopeless reports whether work would be so late at the server that was chosen
-// for it that its caller had better come back. A server with free places takes
-// it all the same, and so does every server an urgent request: engines admit
-// it before the patient ones.
-func (s *service) hopeless(m *server, work *Work, choice Choice) bool {
+// hopeless reports whether work would wait so long at the server that was
+// chosen for it that its caller had better come back, and notes by how much.
+// The size of the work does not matter, so that long prompts are not refused
+// more often. A server with free places takes all work, and every server takes
+// urgent work: engines admit it before the patient one.
+func (s *service) hopeless(m *server, work *Work, choice *Choice) bool {
 	if _, split := s.demand.border(); split && s.demand.group(work.Target) == urgentGroup {
 		return false
 	}
-	return m.load() >= m.Slots/2 && choice.First > time.Duration(hopelessTargets*float64(work.Target))
+	excess := s.wait(m, work) - hopelessWait*work.Target.Seconds()
+	choice.Excess = time.Duration(excess * float64(time.Second))
+	return m.load() >= m.Slots/2 && excess > 0
 }
 
-// slotWait returns how long a request waits for a slot of an engine, in
-// seconds.
+// slotWait returns how long a request waits for a slot of an engine or for room
+// in its memory, in seconds.
 func (s *service) slotWait(m *server, work *Work) float64 {
-	slots := max(m.Slots, 1)
-	ahead := m.load() - slots + 1
-	if ahead <= 0 {
-		return 0
-	}
-	return s.residence[s.demand.group(work.Target)] * float64(ahead) / float64(slots)
+	slots := float64(max(m.Slots, 1))
+	ahead := max(float64(m.load()+1)-slots, 0) / slots
+	return s.residence[s.demand.group(work.Target)] * max(ahead, crowdWeight*m.crowding(work.needs()))
 }
 
 // sample returns n of the servers, drawn at random.
--- a/router/internal/placement/peers.go
+++ b/router/internal/placement/peers.go
@@ -58,7 +58,7 @@
 		}
 		note.Loads = append(note.Loads, ServerLoad{
 			Server: short(s.hash),
-			Load:   Load{Reading: s.reading, Running: s.running, Failing: s.failing},
+			Load:   Load{Reading: s.reading, Running: s.running, Held: s.held, Failing: s.failing},
 		})
 	}
 	for _, s := range b.services {
@@ -89,6 +89,17 @@
 		p.demands[d.Service] = d
 	}
 	b.peers[name] = p
+	b.unsummed = true
+}
+
+// sumIfDue adds up the others' notes if any came since the last time, or if some
+// may have to be forgotten. Notes come more often than requests. The caller
+// holds b.mu.
+func (b *Board) sumIfDue(now time.Time) {
+	if !b.unsummed && now.Sub(b.summed) < peerMemory {
+		return
+	}
+	b.unsummed, b.summed = false, now
 	b.forgetPeers(now)
 	b.sumPeers()
 }
@@ -116,6 +127,7 @@
 			told++
 			s.peers.Reading += l.Reading
 			s.peers.Running += l.Running
+			s.peers.Held += l.Held
 			s.peers.Failing += l.Failing
 		}
 		s.peers.Failing /= float64(max(told, 1))
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -34,6 +34,10 @@
 	// Engine marks a model engine.
 	Engine bool
 
+	// Memory is the number of tokens that an engine's KV cache holds, or zero
+	// if that is not known.
+	Memory int64
+
 	// Warming is how much longer the server is slow after its start.
 	Warming time.Duration
 }
@@ -48,6 +52,10 @@
 	reading int
 	running int
 
+	// held is the number of tokens that own requests need of the engine's
+	// memory when they end.
+	held int
+
 	// peers is the same of other routers, as they told last.
 	peers Load
 
@@ -73,6 +81,9 @@
 	Reading int
 	Running int
 
+	// Held is the number of tokens that these need of an engine's memory.
+	Held int
+
 	// Failing is the smoothed share of failed requests.
 	Failing float64
 }
@@ -132,6 +143,15 @@
 // load returns the requests in progress at the server.
 func (s *server) load() int { return s.running + s.peers.Running }
 
+// crowding returns by which part the requests in progress, and one that needs
+// more tokens, exceed the engine's memory.
+func (s *server) crowding(need int) float64 {
+	if s.Memory == 0 {
+		return 0
+	}
+	return max(float64(s.held+s.peers.Held+need)/float64(s.Memory)-1, 0)
+}
+
 // hanging returns for how long the server has answered none of the requests
 // that wait there.
 func (s *server) hanging(now time.Time) time.Duration {
--- a/router/internal/placement/ticket.go
+++ b/router/internal/placement/ticket.go
@@ -22,6 +22,9 @@
 	// reading is the number of prompt tokens booked. It is zero after First.
 	reading int
 
+	// held is the number of tokens booked of the engine's memory.
+	held int
+
 	// queued is the number of prompt tokens that were to be read up to the end
 	// of this prompt.
 	queued  int
@@ -102,6 +105,7 @@
 	defer t.board.mu.Unlock()
 	s := t.server
 	s.running--
+	s.held -= t.held
 	s.reading -= t.reading
 	t.reading = 0
 	if s.running == 0 || end != Left {
--- a/router/internal/placement/work.go
+++ b/router/internal/placement/work.go
@@ -59,6 +59,10 @@
 	return max(w.Prompt-w.common, 0)
 }
 
+// needs returns the tokens that the request takes of an engine's memory in the
+// end, beside what is common.
+func (w *Work) needs() int { return max(w.Prompt-w.common, 0) + w.Output }
+
 // session returns the name of all shared parts. Requests with the same session
 // share most of their prompts.
 func (w *Work) session() uint64 {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"snipetally.example/router/internal/hop"
+	"snipetally.example/router/internal/link"
 	"snipetally.example/router/internal/placement"
 )
 
@@ -82,6 +83,7 @@
 
 // run makes attempts until one answers or the request is given up.
 func (x *exchange) run(ctx context.Context) {
+	defer x.dropMove()
 	for {
 		ticket, choice, err := x.relay.board.Pick(time.Now(), x.work, x.tried)
 		if err != nil {
@@ -115,7 +117,7 @@
 func (x *exchange) unplaced(ctx context.Context, choice placement.Choice, err error) {
 	if errors.Is(err, placement.ErrBusy) && !x.begun && x.runs == 0 {
 		x.choice = choice
-		x.refuse(err.Error(), max(choice.First-x.class.Target, soon))
+		x.refuse(err.Error(), max(choice.Excess, soon))
 		return
 	}
 	x.giveUp(ctx, unexecuted, err.Error())
@@ -187,7 +189,7 @@
 
 // sendFailed classes an attempt without an answer.
 func (x *exchange) sendFailed(ctx context.Context, ticket *placement.Ticket, target *target, err error) (result, error) {
-	var failure *hop.Failure
+	var failure *link.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
 	callerLeft := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled)
 	switch {
--- a/router/relay/move.go
+++ b/router/relay/move.go
@@ -121,6 +121,7 @@
 	select {
 	case m = <-outcome:
 	case <-ctx.Done():
+		go abandonMove(outcome)
 		return false
 	}
 	if m.err != nil {
@@ -139,3 +140,18 @@
 	x.logRepeat(result, err)
 	return false
 }
+
+// abandonMove gives back the place of a move that nobody waits for, as its
+// stream ended before.
+func abandonMove(outcome chan moved) {
+	if m := <-outcome; m.err == nil {
+		m.ticket.Done(time.Now(), placement.Left)
+	}
+}
+
+// dropMove forgets a move that was asked for when the request has its answer.
+func (x *exchange) dropMove() {
+	if outcome := x.relay.streams.take(x); outcome != nil {
+		go abandonMove(outcome)
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -165,11 +165,13 @@
 		if s.Leaving {
 			continue
 		}
-		service, known := v.services[s.Service]
-		open = append(open, placement.Server{
-			ID: s.ID, Service: s.Service, Zone: s.Zone, Slots: s.Slots,
-			Engine: known && service.Engine(), Warming: s.Warming,
-		})
+		placed := placement.Server{
+			ID: s.ID, Service: s.Service, Zone: s.Zone, Slots: s.Slots, Warming: s.Warming,
+		}
+		if service, ok := v.services[s.Service]; ok {
+			placed.Engine, placed.Memory = service.Engine(), service.CacheTokens
+		}
+		open = append(open, placed)
 	}
 	r.board.SetServers(time.Now(), open)
 }
