--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -12,7 +12,7 @@
 
 	// readWeight is the cost of a second of reading. It takes the time of an
 	// engine from all requests there, and a wait only that of its own.
-	readWeight = 8
+	readWeight = 16
 
 	// lateWeight is the cost of a second beyond the target, on top of the
 	// wait itself.
