--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -90,7 +90,7 @@
 	r := x.relay
 	x.view = r.view.Load()
 	if x.view == nil {
-		x.refuse("no plan", soon)
+		x.refuseOutdated("no plan")
 		return false
 	}
 	if r.refuses() {
@@ -122,7 +122,7 @@
 		return true
 	}
 	if x.relay.outdated(keyPart) {
-		x.refuseOutdated()
+		x.refuseOutdated("plan outdated")
 		return false
 	}
 	team, ok := x.view.keys[x.call.Key]
@@ -137,7 +137,7 @@
 // plan can't tell, so that the caller is asked to come back.
 func (x *exchange) unknown(status int, reason string) bool {
 	if x.relay.outdated(keyPart) {
-		x.refuseOutdated()
+		x.refuseOutdated("plan outdated")
 		return false
 	}
 	x.reject(status, reason)
--- a/router/relay/freshness.go
+++ b/router/relay/freshness.go
@@ -30,16 +30,16 @@
 	return r.bounds.Load().Revocation > 0 && r.options.away() > cutOffTime
 }
 
-// refuseOutdated refuses a request since the plan is too old to tell whether it
-// may run. If another router knows a newer one, the caller may go there at
-// once.
-func (x *exchange) refuseOutdated() {
+// refuseOutdated refuses a request since the router has no plan, or one too old
+// to tell whether the request may run. If another router knows a newer one, the
+// caller may go there at once.
+func (x *exchange) refuseOutdated(reason string) {
 	x.relay.meters.stale.Inc(1)
 	after := later
 	if x.relay.options.others(time.Duration(keyPart * float64(x.relay.bounds.Load().Revocation))) {
 		after = atOnce
 	}
-	x.refuse("plan outdated", after)
+	x.refuse(reason, after)
 }
 
 // age returns for how long the plan has not been known to be the newest.
