Bound the memory of bodies, spread prompts without shared parts, keep the border in retries

Cause: reading the code for unseen installations: bodies had no bound in all, so that uploads could end a process by its memory; requests without a shared part went to the first four engines of their group; a server that was tried already moved the border between the groups for that request and the next. Change: bodies take room, a quarter of the VM's memory, and are refused beyond it; without a session the order of engines is random; the border is drawn through all members.

--- a/router/internal/placement/board.go
+++ b/router/internal/placement/board.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -84,7 +85,12 @@
 
 // NewBoard returns a board of a router in an availability zone.
 func NewBoard(zone string) *Board {
-	return &Board{zone: zone, servers: make(map[string]*server), services: make(map[string]*service), peers: make(map[string]*peer)}
+	return &Board{
+		zone:     zone,
+		servers:  make(map[string]*server),
+		services: make(map[string]*service),
+		peers:    make(map[string]*peer),
+	}
 }
 
 // SetServers replaces the servers that take work. What is believed of those
@@ -108,15 +114,7 @@
 		of.members = append(of.members, s)
 	}
 	for _, s := range b.services {
-		slices.SortFunc(s.members, func(a, b *server) int {
-			switch {
-			case a.hash < b.hash:
-				return -1
-			case a.hash > b.hash:
-				return 1
-			}
-			return 0
-		})
+		slices.SortFunc(s.members, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 	}
 	b.unsummed = true
 }
@@ -132,7 +130,12 @@
 func (b *Board) service(name string) *service {
 	s, ok := b.services[name]
 	if !ok {
-		s = &service{id: short(xxhash.Sum64String(name)), speed: firstSpeed, answer: plainTime, residence: [groups]float64{firstResidence, firstResidence}}
+		s = &service{
+			id:        short(xxhash.Sum64String(name)),
+			speed:     firstSpeed,
+			answer:    plainTime,
+			residence: [groups]float64{firstResidence, firstResidence},
+		}
 		b.services[name] = s
 	}
 	return s
--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -91,10 +93,7 @@
 	urgent := s.demand.group(work.Target) == urgentGroup
 	own, other := s.ranges(now, candidates, urgent)
 	ranked := rank(work.session(), own)
-	choice := Choice{Cost: -1, Next: -1, Speed: s.speed, Urgent: len(own)}
-	if !urgent {
-		choice.Urgent = len(other)
-	}
+	choice := Choice{Cost: -1, Next: -1, Speed: s.speed, Urgent: s.demand.drawn}
 	var chosen *server
 	for i, m := range ranked[:min(len(ranked), choices)] {
 		cost := s.engineCost(now, m, work, i == 0) + float64(i)*rankCost
@@ -135,15 +134,23 @@
 	foreignCost = 0.05
 )
 
-// ranges returns the servers of the request's own group and those of the
-// other. Without groups all servers are the request's own.
+// ranges returns the candidates of the request's own group and those of the
+// other. The border is drawn through all members, so that it stays where it is
+// when some are no candidates. Without groups all servers are the request's own.
 func (s *service) ranges(now time.Time, candidates []*server, urgent bool) (own, other []*server) {
-	n := s.demand.divide(len(candidates),
+	n := s.demand.divide(len(s.members),
 		s.demand.urgent.current(now)+s.peerUrgent, s.demand.patient.current(now)+s.peerPatient)
-	if urgent {
-		return candidates[:n], candidates[n:]
+	at := len(candidates)
+	if n < len(s.members) {
+		at, _ = slices.BinarySearchFunc(candidates, s.members[n].hash, func(m *server, hash uint64) int {
+			return cmp.Compare(m.hash, hash)
+		})
+	}
+	own, other = candidates[:at], candidates[at:]
+	if !urgent {
+		own, other = other, own
 	}
-	return candidates[n:], candidates[:n]
+	return own, other
 }
 
 // engineCost returns the cost of a request at an engine.
@@ -206,23 +213,15 @@
 	return drawn
 }
 
-// rank orders servers by their rendezvous hash for a session.
+// rank orders servers by their rendezvous hash for a session. Without a session
+// the order is random.
 func rank(session uint64, servers []*server) []*server {
 	if session == 0 {
-		return servers
-	}
-	type scored struct {
-		server *server
-		score  uint64
-	}
-	ranked := make([]scored, len(servers))
-	for i, m := range servers {
-		ranked[i] = scored{server: m, score: score(session, m.hash)}
-	}
-	sortByScore(ranked, func(a scored) uint64 { return a.score })
-	ordered := make([]*server, len(servers))
-	for i := range ranked {
-		ordered[i] = ranked[i].server
+		session = rand.Uint64()
 	}
-	return ordered
+	ranked := slices.Clone(servers)
+	slices.SortFunc(ranked, func(a, b *server) int {
+		return cmp.Compare(score(session, b.hash), score(session, a.hash))
+	})
+	return ranked
 }
--- a/router/internal/placement/demand.go
+++ b/router/internal/placement/demand.go
@@ -128,12 +128,14 @@
 // servers keep of them when it moves.
 func (d *demand) divide(n int, urgent, patient float64) int {
 	if _, split := d.border(); !split || n < 2 {
+		d.drawn, d.servers = n, n
 		return n
 	}
 	u := math.Pow(urgent, headroom)
 	p := math.Pow(patient, headroom)
 	if u+p == 0 {
-		return (n + 1) / 2
+		d.drawn, d.servers = (n+1)/2, n
+		return d.drawn
 	}
 	share := float64(n) * u / (u + p)
 	least := urgent / urgentFill
--- a/router/internal/placement/rush_test.go
+++ b/router/internal/placement/rush_test.go
@@ -357,3 +357,54 @@
 	g.Expect(board.Beliefs(now)[0].Peers.Running).To(gomega.Equal(5))
 	g.Expect(board.Beliefs(now.Add(5 * time.Second))[0].Peers.Running).To(gomega.BeZero())
 }
+
+// TestPromptsWithoutSharedPartsUseAllEngines has requests that share nothing,
+// so that no engine is better than another.
+func TestPromptsWithoutSharedPartsUseAllEngines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	board := placement.NewBoard("zone")
+	now := time.Unix(1e9, 0)
+	board.SetTargets("llm", []time.Duration{draftTarget})
+	var servers []placement.Server
+	for i := range engines {
+		servers = append(servers, placement.Server{ID: fmt.Sprint(i), Service: "llm", Slots: slots, Engine: true})
+	}
+	board.SetServers(now, servers)
+	used := make(map[string]bool)
+	for i := range 20 * engines {
+		work := placement.Work{Service: "llm", Prompt: 1000, Target: draftTarget}
+		if i%2 == 0 {
+			work.Parts = []placement.Part{{ID: uint64(i), Tokens: 1000}}
+		}
+		ticket, choice, err := board.Pick(now, work, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		used[choice.Server] = true
+		ticket.First(now)
+		ticket.Done(now, placement.Served)
+	}
+	g.Expect(used).To(gomega.HaveLen(engines))
+}
+
+// TestTriedServerDoesNotMoveTheBorder sends a session to its home before and
+// after another request had to pass over a server.
+func TestTriedServerDoesNotMoveTheBorder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRush(6)
+	end := r.now.Add(10 * time.Second)
+	r.arrive(40, end, r.chat)
+	r.arrive(40, end, r.draft)
+	r.play(10 * time.Second)
+	border := func(tried []string) int {
+		ticket, choice, err := r.boards[0].Pick(r.now, placement.Work{
+			Service: "llm", Prompt: 600, Target: chatTarget,
+			Parts: []placement.Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 500}},
+		}, tried)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		ticket.Done(r.now, placement.Left)
+		return choice.Urgent
+	}
+	before := border(nil)
+	for i := range engines {
+		g.Expect(border([]string{fmt.Sprintf("engine-%d", i)})).To(gomega.Equal(before))
+	}
+}
--- a/router/internal/placement/ticket.go
+++ b/router/internal/placement/ticket.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Ticket is a request's place on a server. First and Done may be called by any
 // goroutine, Done exactly once.
@@ -127,11 +123,6 @@
 	}
 }
 
-// sortByScore orders items from the highest score to the lowest.
-func sortByScore[T any](items []T, by func(T) uint64) {
-	slices.SortFunc(items, func(a, b T) int { return cmp.Compare(by(b), by(a)) })
-}
-
 // Expected returns the time to the answer, or to its first event, that was
 // expected when the server was chosen.
 func (t *Ticket) Expected() time.Duration { return t.expected }
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -13,8 +15,18 @@
 	"snipetally.example/router/internal/placement"
 )
 
-// errBodyTooLong says that a body exceeds the plan's limit.
-const errBodyTooLong = errors.ConstError("body too long")
+const (
+	// errBodyTooLong says that a body exceeds the plan's limit.
+	errBodyTooLong = errors.ConstError("body too long")
+
+	// errNoRoom says that the bodies of other requests take all the memory that
+	// there is for them.
+	errNoRoom = errors.ConstError("no room for body")
+
+	// bodyStep is the number of bytes by which room is taken for a body of
+	// unknown length.
+	bodyStep = 64 << 10
+)
 
 // exchange is one request of a caller. It belongs to the goroutine that serves
 // it.
@@ -38,6 +50,9 @@
 	body   []byte
 	framed bool
 
+	// room is the number of bytes that the body takes of the relay's room.
+	room int64
+
 	service  string
 	work     placement.Work
 	deadline time.Time
@@ -74,6 +89,7 @@
 	if !x.admit() {
 		return
 	}
+	defer x.freeBody()
 	if err := x.readBody(); err != nil {
 		x.bodyFailed(err)
 		return
@@ -145,37 +161,71 @@
 }
 
 // readBody reads the whole body, so that it can be sent again and that the
-// server sees the caller leave.
+// server sees the caller leave. The room that it takes is given back by
+// freeBody.
 func (x *exchange) readBody() error {
 	x.framed = x.request.ContentLength > 0 || len(x.request.TransferEncoding) > 0 ||
 		x.request.Header.Get("Content-Length") != ""
 	limit := x.view.plan.Limits.BodyBytes
-	if limit > 0 && x.request.ContentLength > limit {
+	length := x.request.ContentLength
+	if limit > 0 && length > limit {
 		return errBodyTooLong
 	}
-	var reader io.Reader = x.request.Body
-	if limit > 0 {
-		reader = io.LimitReader(reader, limit+1)
+	if length < 0 {
+		return x.readChunks(limit)
 	}
-	var err error
-	if length := x.request.ContentLength; length >= 0 {
-		x.body = make([]byte, length)
-		_, err = io.ReadFull(reader, x.body)
+	if err := x.takeRoom(length); err != nil {
 		return err
 	}
-	x.body, err = io.ReadAll(reader)
-	if err == nil && limit > 0 && int64(len(x.body)) > limit {
-		return errBodyTooLong
+	x.body = make([]byte, length)
+	if _, err := io.ReadFull(x.request.Body, x.body); err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	return nil
+}
+
+// readChunks reads a body of unknown length.
+func (x *exchange) readChunks(limit int64) error {
+	for {
+		if err := x.takeRoom(bodyStep); err != nil {
+			return err
+		}
+		var step bytes.Buffer
+		n, err := io.CopyN(&step, x.request.Body, bodyStep)
+		x.body = append(x.body, step.Bytes()...)
+		switch {
+		case limit > 0 && int64(len(x.body)) > limit:
+			return errBodyTooLong
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return fmt.Errorf("read body after %d bytes: %w", n, err)
+		}
+	}
+}
+
+// takeRoom counts bytes of the body.
+func (x *exchange) takeRoom(n int64) error {
+	x.room += n
+	if held := x.relay.bodies.Add(n); x.relay.options.room > 0 && held > x.relay.options.room {
+		return errNoRoom
 	}
-	return err
+	return nil
 }
 
+// freeBody gives the room of the body back.
+func (x *exchange) freeBody() { x.relay.bodies.Add(-x.room) }
+
 // bodyFailed answers a request whose body could not be read.
 func (x *exchange) bodyFailed(err error) {
 	if errors.Is(err, errBodyTooLong) {
 		x.reject(http.StatusRequestEntityTooLarge, err.Error())
 		return
 	}
+	if errors.Is(err, errNoRoom) {
+		x.refuse(err.Error(), soon)
+		return
+	}
 	if x.request.Context().Err() != nil {
 		x.abandoned()
 		return
@@ -203,7 +253,7 @@
 		Target:  x.class.Target,
 	}
 	if x.call.Expected > 0 {
-		x.work.Output = min(x.call.Expected, max(x.call.Output, x.call.Expected))
+		x.work.Output = x.call.Expected
 	}
 	for _, part := range x.call.Parts {
 		x.work.Parts = append(x.work.Parts, placement.Part(part))
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -119,6 +119,9 @@
 	// collected. Memory costs more than the time for it.
 	garbage = 40
 
+	// roomPart is the part of the VM's memory that bodies of requests may take.
+	roomPart = 0.25
+
 	// memoryPart is the part of the VM's memory that the heap may take before
 	// it is collected more often.
 	memoryPart = 0.6
@@ -165,6 +168,7 @@
 		clock:   config.Clock,
 		zone:    config.Zone,
 		bounds:  config.Bounds,
+		room:    int64(roomPart * float64(config.Memory)),
 		asOf:    n.plans.AsOf,
 		away:    n.plans.Away,
 		others:  func(bound time.Duration) bool { return n.notices.AnyNewer(bound) },
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -31,6 +31,10 @@
 	zone   string
 	bounds Bounds
 
+	// room is the number of bytes of bodies that are held at once, or zero if
+	// there is no bound.
+	room int64
+
 	// asOf returns the time on the clock up to which the plan is known to be
 	// the newest, and false before the first one.
 	asOf func() (time.Duration, bool)
@@ -57,6 +61,7 @@
 	view     atomic.Pointer[view]
 	servers  atomic.Pointer[map[string]*target]
 	inflight atomic.Int64
+	bodies   atomic.Int64
 	stopping atomic.Int64
 
 	// bounds are the promises in force. Operators may change them.
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -238,3 +239,45 @@
 		"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"))
 	g.Expect(<-copies).To(gomega.Equal(source + "/h1"))
 }
+
+// TestBodiesKeepToTheirRoom sends bodies of known and of unknown length, within
+// the plan's limit, beyond it and beyond the room.
+func TestBodiesKeepToTheirRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	count := func(w http.ResponseWriter, q *http.Request) {
+		n, _ := io.Copy(io.Discard, q.Body)
+		serve(strconv.FormatInt(n, 10))(w, q)
+	}
+	plan := planOf(class("a", relay.Once, 1))
+	plan.Limits.BodyBytes = 32 << 20
+	r, _ := start(t, plan, count)
+	for size, status := range map[int64]int{
+		0: http.StatusOK, 1: http.StatusOK, 1 << 20: http.StatusOK,
+		20 << 20: http.StatusServiceUnavailable, 33 << 20: http.StatusRequestEntityTooLarge,
+	} {
+		for _, body := range []io.Reader{
+			bytes.NewReader(make([]byte, size)), io.LimitReader(zeros{}, size),
+		} {
+			got := r.callWith(t, http.MethodPost, "/a/x", "", body)
+			if got.err != nil {
+				continue // The router answers and closes while the body is on its way.
+			}
+			if _, known := body.(*bytes.Reader); !known && size > memory/4 {
+				status = http.StatusServiceUnavailable // Room ends before the limit.
+			}
+			g.Expect(got.status).To(gomega.Equal(status), "%d bytes", size)
+			if status == http.StatusOK {
+				g.Expect(got.body).To(gomega.Equal(strconv.FormatInt(size, 10)))
+			}
+		}
+	}
+	g.Expect(r.call(t, http.MethodPost, "/a/x", "").status).To(gomega.Equal(http.StatusOK), "room was given back")
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/router/relay/rig_test.go
+++ b/router/relay/rig_test.go
@@ -34,6 +34,9 @@
 	copyHeader     = "Copy"
 )
 
+// memory is that of the VM; a quarter of it is room for bodies.
+const memory = 64 << 20
+
 // revocation is so long that a slow machine never comes near it.
 const revocation = 10 * time.Minute
 
@@ -198,6 +201,7 @@
 	node := relay.NewNode(relay.Config{
 		VM: "vm", Zone: "zone", Callers: r.callers, Readiness: r.ready, ReadyPath: "/ready", Operators: r.state,
 		Peers: netip.AddrPort{}, Codec: codec{}, Mover: m, Plans: r.plans, Servers: r.servers, Clock: clock, Log: io.Discard,
+		Memory: memory,
 		Bounds: relay.Bounds{
 			Revocation: revocation, Drain: 50 * time.Millisecond, Grace: time.Second, RetryRatio: 1, RetryWindow: 10 * time.Second,
 		},
@@ -253,7 +257,13 @@
 // call sends a request of a class.
 func (r *rig) call(t *testing.T, method, path, key string) reply {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+r.callers+path, nil)
+	return r.callWith(t, method, path, key, nil)
+}
+
+// callWith sends a request with a body.
+func (r *rig) callWith(t *testing.T, method, path, key string, body io.Reader) reply {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+r.callers+path, body)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -267,8 +277,8 @@
 		return reply{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
 
 // serve answers with a body.
