Give a server's own failure when no other server has a better answer

Cause: reading the diff: a request that one server failed and another rejected was answered 502, though the failure of the first was at hand; a rejection could take its place as the answer to keep. Change: only failures of servers that ran the request are kept, and given whatever the last attempt's outcome was.

--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -112,7 +112,7 @@
 }
 
 // giveUp gives the final answer of a request that no server answered.
-func (x *exchange) giveUp(ctx context.Context, outcome result, reason string) {
+func (x *exchange) giveUp(ctx context.Context, reason string) {
 	switch {
 	case x.request.Context().Err() != nil:
 		x.abandoned()
@@ -122,7 +122,7 @@
 		panic(http.ErrAbortHandler) // Closes the connection, so that the answer does not look whole.
 	case x.runs == 0:
 		x.refuse(reason, soon)
-	case outcome == failing && x.fallback != nil:
+	case x.fallback != nil:
 		x.giveFallback(reason)
 	case ctx.Err() != nil:
 		x.relay.meters.failed.Inc(1)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -106,7 +106,7 @@
 		}
 		if reason := x.final(ctx, outcome); reason != "" {
 			x.logFailure(outcome, err)
-			x.giveUp(ctx, outcome, reason)
+			x.giveUp(ctx, reason)
 			return
 		}
 		x.logRepeat(outcome, err)
@@ -120,7 +120,7 @@
 		x.refuse(err.Error(), max(choice.Excess, soon))
 		return
 	}
-	x.giveUp(ctx, unexecuted, err.Error())
+	x.giveUp(ctx, err.Error())
 }
 
 // final returns why there is no further attempt, or nothing.
@@ -261,7 +261,6 @@
 	}
 	switch {
 	case note.Unexecuted:
-		x.fallback = whole
 		return unexecuted, nil
 	case !success && answer.Status >= http.StatusInternalServerError:
 		x.fallback = whole
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -77,8 +77,8 @@
 	// moved.
 	copy Copy
 
-	// fallback is a server's answer that is given if no other server has a
-	// better one.
+	// fallback is a failure of a server that ran the request. It is given if no
+	// other server has a better answer.
 	fallback *wholeAnswer
 }
 
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -281,3 +281,23 @@
 	clear(p)
 	return len(p), nil
 }
+
+// TestFailureOfAServerIsGivenWhenThereIsNoOther has one server that fails and
+// one that rejects. The failure is what the caller gets, in whichever order.
+func TestFailureOfAServerIsGivenWhenThereIsNoOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fails := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(signedHeader, "yes")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	full := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(unrunHeader, "yes")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	r, _ := start(t, planOf(class("a", relay.Idempotent, 3)), fails, full)
+	for range 6 {
+		got := r.call(t, http.MethodGet, "/a/x", "")
+		g.Expect(got.status).To(gomega.Equal(http.StatusInternalServerError))
+		g.Expect(got.header.Get(signedHeader)).To(gomega.Equal("yes"))
+	}
+}
