--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -104,6 +104,8 @@
 // and returns false if it may not run.
 func (x *exchange) admit() bool {
 	r := x.relay
+	var undecoded error
+	x.call, undecoded = r.options.codec.Call(x.request.Header)
 	x.view = r.view.Load()
 	if x.view == nil {
 		x.refuseOutdated("no plan")
@@ -122,12 +124,10 @@
 	if x.class == nil {
 		return x.unknown(http.StatusNotFound, "no class")
 	}
-	call, err := r.options.codec.Call(x.request.Header)
-	if err != nil {
-		x.reject(http.StatusBadRequest, err.Error())
+	if undecoded != nil {
+		x.reject(http.StatusBadRequest, undecoded.Error())
 		return false
 	}
-	x.call = call
 	return x.authorize()
 }
 
