Give up servers that leave soon after an outage on time

Ruled out: the feed's delay; five routers that were not cut saw the same removal at once (docs/incidents/leaving-after-a-cut.md). Change: what vanishes after the first answer is kept for 0.35 of the drain bound; rows are given up when they are due; changes gather for a quarter of the bound.

--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -40,6 +40,10 @@
 	// during it is kept. Its writer may just have been unable to renew it.
 	Settle time.Duration
 
+	// Linger is how long a row is kept that vanishes in that time, but after
+	// the first answer. It has most likely been removed in earnest.
+	Linger time.Duration
+
 	// Apply gets a copy of all rows whenever they changed. Calls come one
 	// after the other.
 	Apply func(rows map[string]T)
@@ -70,14 +74,16 @@
 type Follower[T any] struct {
 	config Config[T]
 
-	// rows, revision, synced, lostAt, settled and vanished belong to Run.
+	// The fields up to mu belong to Run. vanished holds the times at which
+	// rows are given up; caughtUp says that an answer came since the outage.
 	rows     map[string]T
 	revision int64
 	synced   bool
 	lostAt   time.Duration
 	away     bool
 	settled  time.Duration
-	vanished map[string]struct{}
+	vanished map[string]time.Duration
+	caughtUp bool
 
 	// mu guards the fields below. lostSince is when the first of the failed
 	// calls since the last good one failed, or zero.
@@ -90,7 +96,7 @@
 
 // NewFollower returns a follower that knows nothing yet.
 func NewFollower[T any](config Config[T]) *Follower[T] {
-	return &Follower[T]{config: config, rows: make(map[string]T), vanished: make(map[string]struct{})}
+	return &Follower[T]{config: config, rows: make(map[string]T), vanished: make(map[string]time.Duration)}
 }
 
 // AsOf returns the time on the follower's clock up to which its copy is known
@@ -126,7 +132,7 @@
 		switch {
 		case err == nil:
 			pause = firstPause
-			sleep(ctx, f.config.Gap)
+			sleep(ctx, min(f.config.Gap, f.untilGivenUp()))
 		case errors.Is(err, ErrCompacted):
 			f.synced = false
 		case ctx.Err() == nil:
@@ -158,10 +164,17 @@
 	if f.away {
 		return 0
 	}
-	if left := f.settled - f.config.Clock(); len(f.vanished) > 0 && left < f.config.Wait {
-		return max(left, 0)
+	return min(f.config.Wait, f.untilGivenUp())
+}
+
+// untilGivenUp returns the time until the next vanished row is given up.
+func (f *Follower[T]) untilGivenUp() time.Duration {
+	left := f.config.Wait
+	now := f.config.Clock()
+	for _, due := range f.vanished {
+		left = min(left, max(due-now, 0))
 	}
-	return f.config.Wait
+	return left
 }
 
 // call makes a call, notes how current its answer is, and takes its rows.
@@ -191,8 +204,8 @@
 	for _, c := range reading.Changes {
 		changed = f.change(c) || changed
 	}
-	changed = f.forgetVanished() || changed
-	f.synced = true
+	changed = f.giveUpVanished() || changed
+	f.synced, f.caughtUp = true, true
 	f.revision = max(f.revision, reading.Revision)
 	if changed {
 		f.config.Apply(maps.Clone(f.rows))
@@ -213,7 +226,7 @@
 		return false
 	}
 	if c.Removed && f.settling() {
-		f.vanished[c.Key] = struct{}{}
+		f.vanished[c.Key] = f.givenUpAt()
 		return false
 	}
 	delete(f.rows, c.Key)
@@ -240,16 +253,26 @@
 	return f.settled > 0 && f.config.Clock() < f.settled
 }
 
-// forgetVanished removes the rows that did not come back in time.
-func (f *Follower[T]) forgetVanished() bool {
-	if len(f.vanished) == 0 || f.settling() {
-		return false
+// givenUpAt returns when a row that vanishes now is given up.
+func (f *Follower[T]) givenUpAt() time.Duration {
+	if !f.caughtUp {
+		return f.settled
 	}
-	for key := range f.vanished {
-		delete(f.rows, key)
+	return min(f.settled, f.config.Clock()+f.config.Linger)
+}
+
+// giveUpVanished removes the rows that did not come back in time.
+func (f *Follower[T]) giveUpVanished() bool {
+	now := f.config.Clock()
+	changed := false
+	for key, due := range f.vanished {
+		if now >= due {
+			delete(f.rows, key)
+			delete(f.vanished, key)
+			changed = true
+		}
 	}
-	clear(f.vanished)
-	return true
+	return changed
 }
 
 // lost notes a failed call.
@@ -267,7 +290,7 @@
 	if !f.away {
 		return
 	}
-	f.away = false
+	f.away, f.caughtUp = false, false
 	f.setLost(0)
 	now := f.config.Clock()
 	f.settled = now + f.config.Settle
--- a/coordination/feed/follower_test.go
+++ b/coordination/feed/follower_test.go
@@ -19,6 +19,9 @@
 
 func init() { seeds.Fix() }
 
+// linger is how long a row is kept that is removed soon after an outage.
+const linger = 600 * time.Millisecond
+
 const (
 	errDown   = errors.ConstError("table down")
 	errBroken = errors.ConstError("row broken")
@@ -127,6 +130,11 @@
 // follow runs a follower of the table and returns a function that reads its
 // copy.
 func follow(t *testing.T, table *fakeTable) (*feed.Follower[string], func() map[string]string) {
+	return followWithGap(t, table, 0)
+}
+
+// followWithGap is follow with a pause between watches.
+func followWithGap(t *testing.T, table *fakeTable, gap time.Duration) (*feed.Follower[string], func() map[string]string) {
 	var mu sync.Mutex
 	var rows map[string]string
 	follower := feed.NewFollower(feed.Config[string]{
@@ -134,6 +142,8 @@
 		Clock:  table.clock,
 		Wait:   2 * time.Second,
 		Settle: 2 * time.Second,
+		Linger: linger,
+		Gap:    gap,
 		Apply: func(next map[string]string) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -285,3 +295,25 @@
 	}
 	return ""
 }
+
+// TestRowRemovedAfterAnOutageGoesSoon has a writer that leaves shortly after
+// the table is back. It is no row that lapsed during the outage.
+func TestRowRemovedAfterAnOutageGoesSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const gap = 500 * time.Millisecond
+		table := newFakeTable()
+		table.put("stays", "1")
+		table.put("leaves", "1")
+		_, rows := followWithGap(t, table, gap)
+		g.Expect(rows()).To(gomega.HaveLen(2))
+		table.setDown(true)
+		time.Sleep(5 * time.Second)
+		table.setDown(false)
+		time.Sleep(time.Second)
+		g.Expect(rows()).To(gomega.HaveLen(2))
+		table.remove("leaves")
+		time.Sleep(gap + linger)
+		g.Expect(rows()).To(gomega.Equal(map[string]string{"stays": "1"}))
+	})
+}
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -82,12 +82,16 @@
 	// then gets no more work well within its bound. serverGap is used where
 	// there is no such bound.
 	planGap   = 50 * time.Millisecond
-	drainGap  = 0.35
+	drainGap  = 0.25
 	serverGap = 500 * time.Millisecond
 
 	// serverSettle is how long after an outage of the table a server whose
 	// entry lapsed has time to write it again.
-	serverSettle = 2200 * time.Millisecond
+	serverSettle = 2 * time.Second
+
+	// drainLinger is the part of the drain time for which a server is kept
+	// whose entry goes in that time, but after the table was read once.
+	drainLinger = 0.35
 
 	// lingerPart is the part of the grace time in which a stopping node still
 	// takes requests, as callers find out late; finishPart is the part after
@@ -159,6 +163,7 @@
 		Wait:   longestWait,
 		Gap:    gatherServers(config.Bounds),
 		Settle: serverSettle,
+		Linger: time.Duration(drainLinger * float64(config.Bounds.Drain)),
 		Apply:  func(rows map[string]Server) { n.relay.installServers(rows) },
 		Report: n.reporter("servers"),
 	})
