Measure the pauses of streams and log the streams that pause too long

Cause: a stream counts as late when it pauses longer than its class allows, but the logs told only the time to its first event, so that late streams were thinned like ordinary successes. Found while looking for who is late when long prompts and chats share engines.

Ruled out: the time to the first event.

--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -152,10 +152,16 @@
 // served notes a whole answer.
 func (x *exchange) served() {
 	x.relay.meters.served.Inc(1)
-	late := x.class.Target > 0 && x.firstAfter > x.class.Target
-	if late || len(x.tried) > 1 {
+	if x.late() || len(x.tried) > 1 {
 		x.logServed("served late or repeated")
 		return
 	}
 	x.logRoutine()
 }
+
+// late reports whether an answer came, or paused, later than its class asks for.
+func (x *exchange) late() bool {
+	lateFirst := x.class.Target > 0 && x.firstAfter > x.class.Target
+	lateEvent := x.class.Gap > 0 && x.longestGap > x.class.Gap
+	return lateFirst || lateEvent
+}
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -73,6 +73,11 @@
 	// firstAfter is the time from the arrival to the first byte of the answer.
 	firstAfter time.Duration
 
+	// eventAt is when the last event went to the caller, longestGap the longest
+	// pause between two of them.
+	eventAt    time.Time
+	longestGap time.Duration
+
 	// copy is the memory that the next attempt starts from, if the run was
 	// moved.
 	copy Copy
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -30,13 +30,13 @@
 
 // logServed tells a request that was served in an unusual way.
 func (x *exchange) logServed(message string) {
-	x.describe(x.relay.options.log.Request()).Dur("first", x.firstAfter).Msg(message)
+	x.describe(x.relay.options.log.Request()).Dur("first", x.firstAfter).Dur("gap", x.longestGap).Msg(message)
 }
 
 // logRoutine tells a request that was served as usual.
 func (x *exchange) logRoutine() {
 	if event := x.relay.options.log.Routine(time.Now()); event != nil {
-		x.describe(event).Dur("first", x.firstAfter).Msg("served")
+		x.describe(event).Dur("first", x.firstAfter).Dur("gap", x.longestGap).Msg("served")
 	}
 }
 
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -90,10 +90,19 @@
 	if err := http.NewResponseController(x.writer).Flush(); err != nil {
 		return fmt.Errorf("flush events: %w", err)
 	}
+	x.markEvent(time.Now())
 	x.relay.streams.progress(x)
 	return nil
 }
 
+// markEvent notes that events went to the caller.
+func (x *exchange) markEvent(now time.Time) {
+	if !x.eventAt.IsZero() {
+		x.longestGap = max(x.longestGap, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
 // resumedPast reports whether the caller has the event from an earlier server.
 func (x *exchange) resumedPast(id string) bool {
 	if (x.runs == 0 && x.copy.Handle == "") || id == "" || x.last == "" {
