Know where sessions are kept, read prompts by rank, agree on one border

Each of 84 routers sees a session once in minutes, so it can't know where others sent it; under load sessions left for engines where all is cold, which made the load worse. Routers also drew the border between the two groups of engines each by itself (18 to 24 of 60 at the same moment), so that chats ran beside long prompts there, and engines for chats kept 24 of 32 slots free while those for long prompts were full and refused a third.

Change: each note tells which sessions were placed where; a directory holds that for as long as an engine's memory lasts. Re-reading costs more while the group is crowded, and a session that has to be read again is refused sooner. Prompts that wait are counted by rank, as engines read better ranks first (first events of rank 2 came after 192 ms, of rank 5 after 1059 ms, at the same engines). The router with the lowest name draws the border for all, from reading and from slots in use. Long prompts may visit the engines for chats at a bounded rate while those have room. Notes are summed as they come, not at each choice.

The model of an engine in the rush tests now has slots, ranks and a memory: it read prompts in the order of arrival, which real ones don't; bounds are unchanged. New tests fail without the directory, the ranks, the border of the first router and the visits.

--- a/router/internal/notice/codec.go
+++ b/router/internal/notice/codec.go
@@ -26,6 +26,9 @@
 	Demands []wireDemand
 	Known   [][]byte
 
+	// Uses holds pairs of a session and a server.
+	Uses []uint32
+
 	// AgeMS is the age of the plan in milliseconds.
 	AgeMS int64
 }
@@ -34,20 +37,30 @@
 type wireLoad struct {
 	_       struct{} `cbor:",toarray"`
 	Server  uint32
-	Reading int
 	Running int
 	Held    int
 	Failing float32
+
+	// Reading holds pairs of a rank and the prompt tokens that wait.
+	Reading []int
 }
 
 // wireDemand is a service's demand on the wire.
 type wireDemand struct {
 	_       struct{} `cbor:",toarray"`
 	Service uint32
-	Urgent  float32
-	Patient float32
+	Flow    float32
 	Speed   float32
 	Samples int
+
+	// Apart and Mixed hold the servers that a group keeps busy with reading
+	// and with holding slots.
+	Apart [2]float32
+	Mixed [2]float32
+
+	// Drawn and Servers are the border between the groups.
+	Drawn   int
+	Servers int
 }
 
 // encode maps a message to bytes.
@@ -55,15 +68,20 @@
 	w := wireMessage{AgeMS: m.Age.Milliseconds()}
 	for _, l := range m.Note.Loads {
 		w.Loads = append(w.Loads, wireLoad{
-			Server: l.Server, Reading: l.Reading, Running: l.Running, Held: l.Held, Failing: float32(l.Failing),
+			Server: l.Server, Running: l.Running, Held: l.Held, Failing: float32(l.Failing),
+			Reading: encodeReading(l.Reading),
 		})
 	}
 	for _, d := range m.Note.Demands {
 		w.Demands = append(w.Demands, wireDemand{
-			Service: d.Service, Urgent: float32(d.Urgent), Patient: float32(d.Patient),
-			Speed: float32(d.Speed), Samples: d.Samples,
+			Service: d.Service, Flow: float32(d.Flow), Speed: float32(d.Speed), Samples: d.Samples,
+			Apart: encodeDemand(d.Apart), Mixed: encodeDemand(d.Mixed),
+			Drawn: d.Drawn, Servers: d.Servers,
 		})
 	}
+	for _, u := range m.Note.Uses {
+		w.Uses = append(w.Uses, u.Session, u.Server)
+	}
 	for _, address := range m.Known {
 		data, err := address.MarshalBinary()
 		if err != nil {
@@ -89,16 +107,20 @@
 		m.Note.Loads = append(m.Note.Loads, placement.ServerLoad{
 			Server: l.Server,
 			Load: placement.Load{
-				Reading: l.Reading, Running: l.Running, Held: l.Held, Failing: float64(l.Failing),
+				Reading: decodeReading(l.Reading), Running: l.Running, Held: l.Held, Failing: float64(l.Failing),
 			},
 		})
 	}
 	for _, d := range w.Demands {
 		m.Note.Demands = append(m.Note.Demands, placement.ServiceDemand{
-			Service: d.Service, Urgent: float64(d.Urgent), Patient: float64(d.Patient),
-			Speed: float64(d.Speed), Samples: d.Samples,
+			Service: d.Service, Flow: float64(d.Flow), Speed: float64(d.Speed), Samples: d.Samples,
+			Apart: decodeDemand(d.Apart), Mixed: decodeDemand(d.Mixed),
+			Drawn: d.Drawn, Servers: d.Servers,
 		})
 	}
+	for i := 0; i+1 < len(w.Uses); i += 2 {
+		m.Note.Uses = append(m.Note.Uses, placement.Use{Session: w.Uses[i], Server: w.Uses[i+1]})
+	}
 	for _, data := range w.Known {
 		var address netip.AddrPort
 		if err := address.UnmarshalBinary(data); err != nil {
@@ -108,3 +130,32 @@
 	}
 	return m, nil
 }
+
+// encodeReading maps the prompts that wait to pairs of numbers.
+func encodeReading(waiting []placement.Waiting) []int {
+	pairs := make([]int, 0, 2*len(waiting))
+	for _, w := range waiting {
+		pairs = append(pairs, w.Rank, w.Tokens)
+	}
+	return pairs
+}
+
+// decodeReading maps pairs of numbers to the prompts that wait. A rank without
+// tokens is left out.
+func decodeReading(pairs []int) []placement.Waiting {
+	waiting := make([]placement.Waiting, 0, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		waiting = append(waiting, placement.Waiting{Rank: pairs[i], Tokens: pairs[i+1]})
+	}
+	return waiting
+}
+
+// encodeDemand maps a demand to its two numbers.
+func encodeDemand(d placement.GroupDemand) [2]float32 {
+	return [2]float32{float32(d.Reading), float32(d.Holding)}
+}
+
+// decodeDemand maps two numbers to a demand.
+func decodeDemand(pair [2]float32) placement.GroupDemand {
+	return placement.GroupDemand{Reading: float64(pair[0]), Holding: float64(pair[1])}
+}
--- a/router/internal/notice/notice_test.go
+++ b/router/internal/notice/notice_test.go
@@ -25,9 +25,13 @@
 func (b *board) Note(time.Time) placement.Note {
 	return placement.Note{
 		Loads: []placement.ServerLoad{{
-			Server: b.number, Load: placement.Load{Reading: 1000, Running: 3, Failing: 0.5},
+			Server: b.number, Load: placement.Load{Reading: []placement.Waiting{{Rank: 2, Tokens: 1000}}, Running: 3, Failing: 0.5},
 		}},
-		Demands: []placement.ServiceDemand{{Service: 7, Urgent: 0.5, Patient: 2, Speed: 80000, Samples: 9}},
+		Demands: []placement.ServiceDemand{{
+			Service: 7, Apart: placement.GroupDemand{Reading: 0.5}, Mixed: placement.GroupDemand{Holding: 2},
+			Flow: 4000, Speed: 80000, Samples: 9, Drawn: 3, Servers: 8,
+		}},
+		Uses: []placement.Use{{Session: 5, Server: b.number}},
 	}
 }
 
--- a/router/internal/placement/board.go
+++ b/router/internal/placement/board.go
@@ -44,16 +44,28 @@
 type Board struct {
 	zone string
 
+	// name orders the routers, begun is when this one started.
+	name  string
+	begun time.Time
+
 	// mu guards the fields below.
 	mu       sync.Mutex
 	servers  map[string]*server
 	services map[string]*service
 	peers    map[string]*peer
 
-	// unsummed says that a note came that the sums don't hold yet, summed is
-	// when they were made.
-	unsummed bool
-	summed   time.Time
+	// sessions knows which engines keep which sessions, uses and olderUses are
+	// what is told of that: each use goes with two notes, as one may be lost.
+	sessions  directory
+	uses      []Use
+	olderUses []Use
+
+	// short and demands are the servers and services by their names in notes.
+	short   map[uint32]*server
+	demands map[uint32]*service
+
+	// forgot is when the board last looked for routers that are silent.
+	forgot time.Time
 }
 
 // service is what a board believes of a service as a whole.
@@ -66,6 +78,10 @@
 	demand  demand
 	usage   usage
 
+	// visits is the server time in each second, for reading or for slots, that
+	// own long prompts take in the group apart.
+	visits rate
+
 	// speed is the number of prompt tokens that an engine reads in a second,
 	// answer the usual time of a plain server's answer.
 	speed  float64
@@ -78,18 +94,28 @@
 	// samples is the number of observations of the speed.
 	samples int
 
-	// peerUrgent and peerPatient are the demands at the other routers.
-	peerUrgent  float64
-	peerPatient float64
+	// peerApart and peerMixed are the demands at the other routers.
+	peerApart GroupDemand
+	peerMixed GroupDemand
+
+	// flow is the number of tokens in each second that own requests bring to
+	// the engines, peerFlow that of the other routers' requests.
+	flow     rate
+	peerFlow float64
 }
 
-// NewBoard returns a board of a router in an availability zone.
-func NewBoard(zone string) *Board {
+// NewBoard returns a board of a router in an availability zone. The router's
+// name is the one by which others hear of it.
+func NewBoard(now time.Time, name, zone string) *Board {
 	return &Board{
 		zone:     zone,
+		name:     name,
+		begun:    now,
 		servers:  make(map[string]*server),
 		services: make(map[string]*service),
 		peers:    make(map[string]*peer),
+		short:    make(map[uint32]*server),
+		demands:  make(map[uint32]*service),
 	}
 }
 
@@ -100,6 +126,7 @@
 	defer b.mu.Unlock()
 	known := b.servers
 	b.servers = make(map[string]*server, len(servers))
+	b.short = make(map[uint32]*server, len(servers))
 	for _, s := range b.services {
 		s.members = nil
 	}
@@ -110,13 +137,14 @@
 		}
 		s.Server = next
 		b.servers[next.ID] = s
+		b.short[short(s.hash)] = s
 		of := b.service(next.Service)
 		of.members = append(of.members, s)
 	}
 	for _, s := range b.services {
 		slices.SortFunc(s.members, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 	}
-	b.unsummed = true
+	b.recount()
 }
 
 // SetTargets takes the targets of the classes of a service.
@@ -137,6 +165,7 @@
 			residence: [groups]float64{firstResidence, firstResidence},
 		}
 		b.services[name] = s
+		b.demands[s.id] = s
 	}
 	return s
 }
@@ -154,18 +183,18 @@
 	Backlog int
 	Load    int
 
-	// Home says that the server is the one that the session prefers.
-	Home bool
+	// Kept says that the server is believed to keep the session.
+	Kept bool
 
 	// First is the expected time to the first event, Excess by how much the
 	// wait is longer than what a busy server takes work for.
 	First  time.Duration
 	Excess time.Duration
 
-	// Speed is the believed speed of the service in tokens a second, Urgent
-	// the number of servers that urgent requests get first.
-	Speed  float64
-	Urgent int
+	// Speed is the believed speed of the service in tokens a second, Apart the
+	// number of servers that are kept from long prompts.
+	Speed float64
+	Apart int
 }
 
 const (
@@ -182,7 +211,7 @@
 func (b *Board) Pick(now time.Time, work Work, tried []string) (*Ticket, Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sumIfDue(now)
+	b.forgetPeers(now)
 	of := b.service(work.Service)
 	candidates := of.candidates(now, tried)
 	if len(candidates) == 0 {
@@ -191,15 +220,16 @@
 	var best Choice
 	var chosen *server
 	if candidates[0].Engine {
-		work.common = of.common(now, &work, len(b.peers)+1)
+		b.inform(now, &work, of)
 		chosen, best = of.chooseEngine(now, &work, candidates, b.zone)
 	} else {
 		chosen, best = of.choosePlain(now, candidates, b.zone)
 	}
 	if chosen.Engine && of.hopeless(chosen, &work, &best) {
+		of.want(now, &work, best.Kept)
 		return nil, best, ErrBusy
 	}
-	return b.book(now, &work, of, chosen, best.Home), best, nil
+	return b.book(now, &work, of, chosen, best.Kept), best, nil
 }
 
 // candidates returns the members that may get work. Suspended ones are used
@@ -237,11 +267,11 @@
 }
 
 // consider takes a server if it costs less than the best one so far.
-func (c *Choice) consider(chosen **server, m *server, cost float64, home bool) {
+func (c *Choice) consider(chosen **server, m *server, cost float64, kept bool) {
 	switch {
 	case *chosen == nil || cost < c.Cost:
 		c.Next = c.Cost
-		c.Server, c.Cost, c.Home = m.ID, cost, home
+		c.Server, c.Cost, c.Kept = m.ID, cost, kept
 		c.Backlog, c.Load = m.backlog(), m.load()
 		*chosen = m
 	case c.Next < 0 || cost < c.Next:
@@ -251,21 +281,22 @@
 
 // book notes the work at the server and returns its ticket. The caller holds
 // b.mu.
-func (b *Board) book(now time.Time, work *Work, of *service, s *server, home bool) *Ticket {
+func (b *Board) book(now time.Time, work *Work, of *service, s *server, kept bool) *Ticket {
 	s.running++
-	t := &Ticket{board: b, server: s, service: of, begun: now, group: of.demand.group(work.Target)}
+	t := &Ticket{board: b, server: s, service: of, begun: now, group: of.demand.group(work), rank: work.Rank}
 	if s.Engine {
-		t.reading = work.unread(home)
-		t.queued = s.backlog() + t.reading
+		t.reading = work.unread(kept)
+		t.queued = s.before(work.Rank) + t.reading
 		t.expected = time.Duration(float64(t.queued)/of.speed*float64(time.Second)) + decodeStep
-		s.reading += t.reading
-		t.held = work.needs()
+		s.reading.add(t.rank, t.reading)
+		t.slot = 1 / float64(max(s.Slots, 1))
+		of.demand.holding[t.group] += t.slot
+		t.held = work.needs(kept)
 		s.held += t.held
-		seconds := float64(work.Prompt-work.common)/of.speed + of.decodeSeconds(s, work)
-		if len(work.Parts) > 1 {
-			of.usage.see(now, work.Parts[0].ID)
-		}
-		of.demand.add(now, work.Target, seconds)
+		b.use(now, work, of, s)
+		of.visit(now, work, s, kept)
+		of.flow.add(now, float64(t.held))
+		of.want(now, work, kept)
 	} else {
 		t.expected = of.answer
 	}
@@ -274,3 +305,50 @@
 	}
 	return t
 }
+
+// want counts the time that reading the prompt takes of a server.
+func (s *service) want(now time.Time, work *Work, kept bool) {
+	s.demand.reading[s.demand.group(work)].add(now, float64(work.unread(kept))/s.speed)
+}
+
+// inform adds to the work what is believed of its session and of the service.
+// The caller holds b.mu.
+func (b *Board) inform(now time.Time, work *Work, of *service) {
+	work.routers = len(b.peers) + 1
+	work.common = of.common(now, work, work.routers)
+	if work.common < work.shared() {
+		work.name = work.session()
+		work.keepers = b.sessions.keepers(short(work.name))
+	}
+	work.flow = (of.flow.current(now) + of.peerFlow) / float64(max(len(of.members), 1))
+}
+
+// use notes that the work was placed on a server. The caller holds b.mu.
+func (b *Board) use(now time.Time, work *Work, of *service, s *server) {
+	if len(work.Parts) > 1 {
+		of.usage.see(now, work.Parts[0].ID)
+	}
+	if work.name == 0 {
+		return
+	}
+	use := Use{Session: short(work.name), Server: short(s.hash)}
+	b.sessions.see(now, use)
+	b.uses = append(b.uses, use)
+}
+
+// visit notes work that goes to the other group's servers.
+func (s *service) visit(now time.Time, work *Work, m *server, kept bool) {
+	if s.demand.urgent(work) || !s.apart(m) {
+		return
+	}
+	read := float64(work.unread(kept)) / s.speed
+	s.visits.add(now, max(read, s.residence[mixedGroup]/float64(max(m.Slots, 1))))
+}
+
+// apart reports whether a server is kept from long prompts.
+func (s *service) apart(m *server) bool {
+	if !s.demand.split || s.demand.drawn >= len(s.members) {
+		return false
+	}
+	return m.hash < s.members[s.demand.drawn].hash
+}
--- a/router/internal/placement/board_test.go
+++ b/router/internal/placement/board_test.go
@@ -12,7 +12,7 @@
 
 func TestPlainServersThatFailGetLittle(t *testing.T) {
 	g := gomega.NewWithT(t)
-	board := placement.NewBoard("zone")
+	board := placement.NewBoard(time.Unix(1e9, 0), "self", "zone")
 	now := time.Unix(1e9, 0)
 	var servers []placement.Server
 	for i := range 4 {
@@ -38,7 +38,7 @@
 
 func TestUnreachableServerIsLeftAloneForAWhile(t *testing.T) {
 	g := gomega.NewWithT(t)
-	board := placement.NewBoard("zone")
+	board := placement.NewBoard(time.Unix(1e9, 0), "self", "zone")
 	now := time.Unix(1e9, 0)
 	board.SetServers(now, []placement.Server{{ID: "a", Service: "s", Slots: 1}, {ID: "b", Service: "s", Slots: 1}})
 	ticket, first, _ := board.Pick(now, placement.Work{Service: "s"}, nil)
@@ -59,7 +59,7 @@
 	for _, queued := range []int{10, 100, 400} {
 		refused := make(map[int]bool)
 		for _, prompt := range []int{1000, 60000} {
-			board := placement.NewBoard("zone")
+			board := placement.NewBoard(time.Unix(1e9, 0), "self", "zone")
 			now := time.Unix(1e9, 0)
 			board.SetTargets("llm", []time.Duration{draftTarget})
 			board.SetServers(now, []placement.Server{{ID: "a", Service: "llm", Slots: slots, Engine: true}})
@@ -77,7 +77,7 @@
 // memory is taken by long prompts.
 func TestEngineWithoutMemoryIsAvoided(t *testing.T) {
 	g := gomega.NewWithT(t)
-	board := placement.NewBoard("zone")
+	board := placement.NewBoard(time.Unix(1e9, 0), "self", "zone")
 	now := time.Unix(1e9, 0)
 	board.SetTargets("llm", []time.Duration{draftTarget})
 	full := placement.Server{ID: "full", Service: "llm", Slots: slots, Engine: true, Memory: 200_000}
@@ -99,7 +99,7 @@
 // then of nothing more.
 func TestSilentRouterIsForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
-	other, board := placement.NewBoard("zone"), placement.NewBoard("zone")
+	other, board := placement.NewBoard(time.Unix(1e9, 0), "self", "zone"), placement.NewBoard(time.Unix(1e9, 0), "other", "zone")
 	now := time.Unix(1e9, 0)
 	servers := []placement.Server{{ID: "a", Service: "llm", Slots: slots, Engine: true}}
 	other.SetServers(now, servers)
@@ -109,15 +109,15 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	board.Hear(now, "other", other.Note(now))
-	g.Expect(board.Beliefs(now)[0].Peers.Running).To(gomega.Equal(5))
-	g.Expect(board.Beliefs(now.Add(5 * time.Second))[0].Peers.Running).To(gomega.BeZero())
+	g.Expect(board.Beliefs(now)[0].Others).To(gomega.Equal(5))
+	g.Expect(board.Beliefs(now.Add(5 * time.Second))[0].Others).To(gomega.BeZero())
 }
 
 // TestPromptsWithoutSharedPartsUseAllEngines has requests that share nothing,
 // so that no engine is better than another.
 func TestPromptsWithoutSharedPartsUseAllEngines(t *testing.T) {
 	g := gomega.NewWithT(t)
-	board := placement.NewBoard("zone")
+	board := placement.NewBoard(time.Unix(1e9, 0), "self", "zone")
 	now := time.Unix(1e9, 0)
 	board.SetTargets("llm", []time.Duration{draftTarget})
 	var servers []placement.Server
--- a/router/internal/placement/common.go
+++ b/router/internal/placement/common.go
@@ -3,10 +3,13 @@
 import "time"
 
 const (
-	// commonSpan is the time within which a server is expected to get a part
-	// again for the part to count as kept by all servers.
+	// commonSpan is the time for which a server is expected to keep a part.
 	commonSpan = 10 * time.Second
 
+	// commonCost is the number of tokens that a use of a part may cost if each
+	// server reads the part once in that time.
+	commonCost = 128
+
 	// knownParts is the number of first parts whose use is followed.
 	knownParts = 256
 )
@@ -56,14 +59,15 @@
 }
 
 // common returns the tokens of the prompt that every server is believed to
-// keep.
+// keep: those of a first part that is used so often that it costs little to read
+// it everywhere.
 func (s *service) common(now time.Time, work *Work, routers int) int {
 	if len(work.Parts) < 2 || len(s.members) == 0 {
 		return 0
 	}
 	first := work.Parts[0]
-	arrivals := s.usage.rate(now, first.ID) * float64(routers) / float64(len(s.members))
-	if arrivals*commonSpan.Seconds() < 1 {
+	uses := s.usage.rate(now, first.ID) * float64(routers) * commonSpan.Seconds()
+	if uses*commonCost < float64(first.Tokens*len(s.members)) {
 		return 0
 	}
 	return first.Tokens
--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -16,6 +16,11 @@
 	// engine from all requests there, and a wait only that of its own.
 	readWeight = 16
 
+	// crowdedReading is by which part the cost of reading grows while the
+	// servers of the group have as much work as they take: who reads again then
+	// takes the place of another request.
+	crowdedReading = 4
+
 	// lateWeight is the cost of a second beyond the target, on top of the
 	// wait itself.
 	lateWeight = 1
@@ -42,19 +47,15 @@
 	hangFactor = 4
 	hangFloor  = 300 * time.Millisecond
 
+	// loadWeight is the cost of a full batch, as a part of the time that a
+	// request stays at an engine. Each token takes a little longer there.
+	loadWeight = 0.02
+
 	// coldCost is the cost of a server that is slow after its start, in
 	// seconds.
 	coldCost = 0.01
 )
 
-// decodeSeconds returns the server time that the answer takes.
-func (s *service) decodeSeconds(m *server, work *Work) float64 {
-	if m.Slots == 0 {
-		return 0
-	}
-	return s.residence[s.demand.group(work.Target)] * decodeShare / float64(m.Slots)
-}
-
 // plainCost returns the cost of an answer by a plain server.
 func (s *service) plainCost(now time.Time, m *server, zone string) float64 {
 	usual := s.answer.Seconds()
@@ -85,32 +86,110 @@
 }
 
 // chooseEngine returns the engine with the least cost. The engines are cut into
-// two ranges, for urgent and for patient requests, as large as the demand of
-// the two groups asks for. A session prefers the engines of its range in the
-// order of its rendezvous hash, the same at each router; the first one is
-// believed to keep the session's prompt.
+// two ranges, for the two groups of requests, as large as the demand of the
+// groups asks for. A session prefers the engines of its range in the order of
+// its rendezvous hash, and those that keep it.
 func (s *service) chooseEngine(now time.Time, work *Work, candidates []*server, zone string) (*server, Choice) {
-	urgent := s.demand.group(work.Target) == urgentGroup
-	own, other := s.ranges(now, candidates, urgent)
-	ranked := rank(work.session(), own)
-	choice := Choice{Cost: -1, Next: -1, Speed: s.speed, Urgent: s.demand.drawn}
+	own, other := s.ranges(now, candidates, s.demand.group(work))
+	work.crowd = s.crowd(own, work)
+	choice := Choice{Cost: -1, Next: -1, Speed: s.speed, Apart: s.demand.drawn}
 	var chosen *server
-	for i, m := range ranked[:min(len(ranked), choices)] {
-		cost := s.engineCost(now, m, work, i == 0) + float64(i)*rankCost
+	for i, m := range shortlist(now, work, own) {
+		kept := work.keptBy(now, m)
+		cost := s.engineCost(now, m, work, kept) + float64(i)*rankCost
 		if m.Zone != zone {
 			cost += zoneCost
 		}
-		choice.consider(&chosen, m, cost, i == 0)
+		choice.consider(&chosen, m, cost, kept)
 	}
-	for _, m := range sample(other, foreignChoices) {
-		read := float64(work.unread(false)) / s.speed
-		cost := s.engineCost(now, m, work, false) + harmWeight*read*float64(m.load()) + foreignCost
-		choice.consider(&chosen, m, cost, false)
+	if s.mayVisit(now, work) {
+		for _, m := range visited(now, work, other) {
+			kept := work.keptBy(now, m)
+			choice.consider(&chosen, m, s.engineCost(now, m, work, kept)+s.visitCost(m, work, kept), kept)
+		}
 	}
-	choice.First = time.Duration(s.firstEvent(chosen, work, choice.Home) * float64(time.Second))
+	choice.First = time.Duration(s.firstEvent(chosen, work, choice.Kept) * float64(time.Second))
 	return chosen, choice
 }
 
+// mayVisit reports whether work may go to the engines of the other group. Long
+// prompts do so at a rate that all routers share, as each sees what the others
+// sent there only later.
+func (s *service) mayVisit(now time.Time, work *Work) bool {
+	if s.demand.urgent(work) {
+		return true
+	}
+	share := visitPart * float64(s.demand.drawn) / float64(work.routers)
+	return s.visits.current(now) < share
+}
+
+// visited returns the servers of the other group that are looked at for work:
+// some drawn at random and those that keep its session.
+func visited(now time.Time, work *Work, other []*server) []*server {
+	list := sample(other, foreignChoices)
+	for _, m := range other {
+		if len(work.keepers) > 0 && work.keptBy(now, m) && !slices.Contains(list, m) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// visitCost returns the cost of work at an engine of the other group, beside
+// its usual cost. An urgent request waits for all prompts there, as engines
+// don't interrupt the one that they read, and answers pause meanwhile. A long
+// prompt does harm by what it delays the urgent ones beyond what they can bear.
+func (s *service) visitCost(m *server, work *Work, kept bool) float64 {
+	if s.demand.urgent(work) {
+		return foreignCost + float64(m.backlog()-m.before(work.Rank))/s.speed*m.slowness()
+	}
+	queued := float64(m.backlog()+work.unread(kept)) / s.speed * m.slowness()
+	bearable := bearablePart * s.demand.strictest.Seconds()
+	harm := max(queued-bearable, 0) * float64(m.load()+1)
+	taken := float64(m.load()+1) / float64(max(m.Slots, 1))
+	harm += max(taken-roomyPart, 0) * s.residence[mixedGroup]
+	return foreignCost + harmWeight*harm
+}
+
+// shortlist returns the servers of a group that are looked at for the work: the
+// first ones of its session's rendezvous hash, the same at each router, and
+// those that are believed to keep the session.
+func shortlist(now time.Time, work *Work, own []*server) []*server {
+	ranked := rank(work.name, own)
+	if len(ranked) <= choices {
+		return ranked
+	}
+	list := ranked[:choices:choices]
+	for _, m := range ranked[choices:] {
+		if len(work.keepers) > 0 && work.keptBy(now, m) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// crowd returns the mean wait at the servers, as a part of the wait from which
+// on work is refused.
+func (s *service) crowd(servers []*server, work *Work) float64 {
+	limit := hopelessWait * work.Target.Seconds()
+	if len(servers) == 0 || limit <= 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, m := range servers {
+		sum += s.wait(m, work, true)
+	}
+	return min(sum/float64(len(servers))/limit, 1)
+}
+
+// demandOf returns the demand of a group at all routers.
+func (s *service) demandOf(now time.Time, of group) GroupDemand {
+	if of == apartGroup {
+		return s.demand.current(now, of).plus(s.peerApart)
+	}
+	return s.demand.current(now, of).plus(s.peerMixed)
+}
+
 const (
 	// hopelessWait is the part of its target that a request may wait at a busy
 	// server. The rest is left for reading the prompt; with longer waits all
@@ -130,6 +209,14 @@
 	// looked at, drawn at random.
 	foreignChoices = 2
 
+	// visitPart is the part of their time that the engines of the group apart
+	// give to long prompts, bearablePart the part of the shortest target by
+	// which those may delay others, roomyPart the part of the slots up to which
+	// they are welcome.
+	visitPart    = 0.3
+	bearablePart = 0.5
+	roomyPart    = 0.6
+
 	// foreignCost keeps requests in the range of their group, in seconds.
 	foreignCost = 0.05
 )
@@ -137,9 +224,8 @@
 // ranges returns the candidates of the request's own group and those of the
 // other. The border is drawn through all members, so that it stays where it is
 // when some are no candidates. Without groups all servers are the request's own.
-func (s *service) ranges(now time.Time, candidates []*server, urgent bool) (own, other []*server) {
-	n := s.demand.divide(len(s.members),
-		s.demand.urgent.current(now)+s.peerUrgent, s.demand.patient.current(now)+s.peerPatient)
+func (s *service) ranges(now time.Time, candidates []*server, of group) (own, other []*server) {
+	n := s.demand.divide(len(s.members), s.demandOf(now, apartGroup), s.demandOf(now, mixedGroup))
 	at := len(candidates)
 	if n < len(s.members) {
 		at, _ = slices.BinarySearchFunc(candidates, s.members[n].hash, func(m *server, hash uint64) int {
@@ -147,58 +233,59 @@
 		})
 	}
 	own, other = candidates[:at], candidates[at:]
-	if !urgent {
+	if of == mixedGroup {
 		own, other = other, own
 	}
 	return own, other
 }
 
 // engineCost returns the cost of a request at an engine.
-func (s *service) engineCost(now time.Time, m *server, work *Work, home bool) float64 {
+func (s *service) engineCost(now time.Time, m *server, work *Work, kept bool) float64 {
 	target := work.Target.Seconds()
-	read := float64(work.unread(home)) / s.speed * m.slowness()
-	first := s.firstEvent(m, work, home)
-	cost := first + (readWeight-1)*read
+	read := float64(work.unread(kept)) / s.speed * m.slowness()
+	first := s.firstEvent(m, work, kept)
+	cost := first + (readWeight*(1+crowdedReading*work.crowd)-1)*read
 	if late := first - target; late > 0 {
 		cost += lateWeight * late
 	}
-	cost += s.decodeSeconds(m, work) * float64(m.load()) / float64(max(m.Slots, 1))
+	cost += s.residence[s.demand.group(work)] * loadWeight * float64(m.load()) / float64(max(m.Slots, 1))
 	cost += failCost * target * m.unreliable()
 	cost += s.trouble(now, m, time.Duration(first*float64(time.Second)))
 	return cost
 }
 
 // wait returns the expected time until an engine begins a request, in seconds.
-func (s *service) wait(m *server, work *Work) float64 {
-	return float64(m.backlog())/s.speed*m.slowness() + s.slotWait(m, work)
+func (s *service) wait(m *server, work *Work, kept bool) float64 {
+	return float64(m.before(work.Rank))/s.speed*m.slowness() + s.slotWait(m, work, kept)
 }
 
 // firstEvent returns the expected time to the first event at an engine, in
 // seconds.
-func (s *service) firstEvent(m *server, work *Work, home bool) float64 {
-	return s.wait(m, work) + float64(work.unread(home))/s.speed*m.slowness()
+func (s *service) firstEvent(m *server, work *Work, kept bool) float64 {
+	return s.wait(m, work, kept) + float64(work.unread(kept))/s.speed*m.slowness()
 }
 
 // hopeless reports whether work would wait so long at the server that was
 // chosen for it that its caller had better come back, and notes by how much.
 // The size of the work does not matter, so that long prompts are not refused
-// more often. A server with free places takes all work, and every server takes
-// urgent work: engines admit it before the patient one.
+// more often, but what is read again does: it takes the place of others. A server with free places takes all work, and every server takes
+// urgent work.
 func (s *service) hopeless(m *server, work *Work, choice *Choice) bool {
-	if _, split := s.demand.border(); split && s.demand.group(work.Target) == urgentGroup {
+	if s.demand.urgent(work) {
 		return false
 	}
-	excess := s.wait(m, work) - hopelessWait*work.Target.Seconds()
+	limit := hopelessWait * work.Target.Seconds() * work.economy(choice.Kept)
+	excess := s.wait(m, work, choice.Kept) - limit
 	choice.Excess = time.Duration(excess * float64(time.Second))
 	return m.load() >= m.Slots/2 && excess > 0
 }
 
 // slotWait returns how long a request waits for a slot of an engine or for room
 // in its memory, in seconds.
-func (s *service) slotWait(m *server, work *Work) float64 {
+func (s *service) slotWait(m *server, work *Work, kept bool) float64 {
 	slots := float64(max(m.Slots, 1))
-	ahead := max(float64(m.load()+1)-slots, 0) / slots
-	return s.residence[s.demand.group(work.Target)] * max(ahead, crowdWeight*m.crowding(work.needs()))
+	ahead := m.ahead(work.Rank) / slots
+	return s.residence[s.demand.group(work)] * max(ahead, crowdWeight*m.crowding(work.needs(kept)))
 }
 
 // sample returns n of the servers, drawn at random.
--- a/router/internal/placement/rush_test.go
+++ b/router/internal/placement/rush_test.go
@@ -23,6 +23,8 @@
 	draftNew   = 6000
 	draftKept  = 5000
 	sessions   = 120
+	memory     = 750_000 // tokens
+	answer     = time.Second
 	notes      = 100 * time.Millisecond
 
 	chatTarget  = 250 * time.Millisecond
@@ -52,18 +54,16 @@
 	return last
 }
 
-// engine reads prompts one after the other.
-type engine struct {
-	free time.Time
-	kept map[uint64]bool
-	slow float64
-}
-
 // rush is a simulation of routers before engines, in virtual time.
 type rush struct {
 	now     time.Time
 	pending events
 	random  *rand.Rand
+	servers []placement.Server
+
+	// heard are the boards that hear each other, boards those that get
+	// requests.
+	heard   []*placement.Board
 	boards  []*placement.Board
 	engines map[string]*engine
 
@@ -78,31 +78,37 @@
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		engines: make(map[string]*engine),
 	}
-	var servers []placement.Server
 	for i := range engines {
 		id := fmt.Sprintf("engine-%d", i)
-		servers = append(servers, placement.Server{ID: id, Service: "llm", Slots: slots, Engine: true})
-		r.engines[id] = &engine{kept: make(map[uint64]bool), slow: 1}
+		r.servers = append(r.servers, placement.Server{ID: id, Service: "llm", Slots: slots, Engine: true, Memory: memory})
+		r.engines[id] = newEngine(r)
 	}
 	for range routers {
-		board := placement.NewBoard("zone")
-		board.SetTargets("llm", []time.Duration{chatTarget, draftTarget})
-		board.SetServers(r.now, servers)
-		r.boards = append(r.boards, board)
+		r.boards = append(r.boards, r.join())
 	}
 	r.after(0, r.exchange)
 	return r
 }
 
+// join returns the board of a router that starts now. It hears the others from
+// the next exchange on.
+func (r *rush) join() *placement.Board {
+	board := placement.NewBoard(r.now, fmt.Sprint(len(r.heard)), "zone")
+	board.SetTargets("llm", []time.Duration{chatTarget, draftTarget})
+	board.SetServers(r.now, r.servers)
+	r.heard = append(r.heard, board)
+	return board
+}
+
 func (r *rush) after(d time.Duration, do func()) {
 	heap.Push(&r.pending, event{at: r.now.Add(d), do: do})
 }
 
 // exchange lets each router hear the others.
 func (r *rush) exchange() {
-	for i, from := range r.boards {
+	for i, from := range r.heard {
 		note := from.Note(r.now)
-		for j, to := range r.boards {
+		for j, to := range r.heard {
 			if i != j {
 				to.Hear(r.now, fmt.Sprint(i), note)
 			}
@@ -139,6 +145,7 @@
 	session := 1000 + r.random.Uint64N(sessions)
 	r.send(placement.Work{
 		Service: "llm", Prompt: draftKept + draftNew, Output: 300, Target: draftTarget,
+		Rank:  1,
 		Parts: []placement.Part{{ID: session, Tokens: draftKept}, {ID: r.random.Uint64(), Tokens: draftNew}},
 	}, func(first time.Duration) {
 		if first <= draftTarget {
@@ -154,31 +161,23 @@
 		return
 	}
 	e := r.engines[choice.Server]
-	read := 0
-	for _, part := range work.Parts {
-		if e.kept[part.ID] {
-			continue
-		}
-		e.kept[part.ID] = true
-		read += part.Tokens
+	sent := r.now
+	p := &prompt{rank: work.Rank, answer: answer}
+	for _, each := range work.Parts {
+		p.parts = append(p.parts, part{id: each.ID, tokens: each.Tokens})
 	}
 	if work.Target == draftTarget {
 		r.shared++
-		if read > draftNew {
+		if _, kept := e.kept[work.Parts[0].ID]; !kept {
 			r.again++
 		}
 	}
-	begin := e.free
-	if begin.Before(r.now) {
-		begin = r.now
-	}
-	e.free = begin.Add(time.Duration(float64(read) / speed * e.slow * float64(time.Second)))
-	sent, done := r.now, e.free
-	r.after(done.Sub(r.now), func() {
+	p.first = func() {
 		ticket.First(r.now)
 		first(r.now.Sub(sent))
-		r.after(time.Second, func() { ticket.Done(r.now, placement.Served) })
-	})
+	}
+	p.ended = func() { ticket.Done(r.now, placement.Served) }
+	e.submit(p)
 }
 
 // play runs the simulation for a time.
@@ -271,7 +270,7 @@
 		}, tried)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		ticket.Done(r.now, placement.Left)
-		return choice.Urgent
+		return choice.Apart
 	}
 	before := border(nil)
 	for i := range engines {
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -47,9 +47,9 @@
 	Server
 	hash uint64
 
-	// reading is the number of prompt tokens of own requests that wait for
-	// their first event, running the number of own requests in progress.
-	reading int
+	// reading is the prompts of own requests that wait for their first event,
+	// running the number of own requests in progress.
+	reading Backlog
 	running int
 
 	// held is the number of tokens that own requests need of the engine's
@@ -57,7 +57,7 @@
 	held int
 
 	// peers is the same of other routers, as they told last.
-	peers Load
+	peers others
 
 	// failing is the smoothed share of failed requests, pace the smoothed
 	// ratio of the measured to the expected time of an answer. Both fade.
@@ -74,20 +74,6 @@
 	coldUntil time.Time
 }
 
-// Load is the work at a server that a router told of.
-type Load struct {
-	// Reading is the number of prompt tokens that wait to be read, Running
-	// the number of requests in progress.
-	Reading int
-	Running int
-
-	// Held is the number of tokens that these need of an engine's memory.
-	Held int
-
-	// Failing is the smoothed share of failed requests.
-	Failing float64
-}
-
 // newServer returns what is believed of a server at first.
 func newServer(s Server, now time.Time) *server {
 	return &server{Server: s, hash: xxhash.Sum64String(s.ID), pace: 1, faded: now, coldUntil: now.Add(s.Warming)}
@@ -134,14 +120,33 @@
 
 // unreliable returns the share of requests that fail beyond what is harmless.
 func (s *server) unreliable() float64 {
-	return max(s.failing-harmless, s.peers.Failing-harmless, 0)
+	return max(s.failing-harmless, s.peers.meanFailing()-harmless, 0)
 }
 
 // backlog returns the prompt tokens that wait at the server.
-func (s *server) backlog() int { return s.reading + s.peers.Reading }
+func (s *server) backlog() int { return s.reading.total() + s.peers.reading.total() }
+
+// before returns the prompt tokens that the server reads before those of a new
+// request of a rank.
+func (s *server) before(rank int) int { return s.reading.upTo(rank) + s.peers.reading.upTo(rank) }
 
 // load returns the requests in progress at the server.
-func (s *server) load() int { return s.running + s.peers.Running }
+func (s *server) load() int { return s.running + s.peers.running }
+
+// ahead returns the number of requests that wait for a slot before a new one of
+// a rank. Prompts that wait to be read tell how many of those that wait are of a
+// better rank.
+func (s *server) ahead(rank int) float64 {
+	over := float64(s.load() + 1 - max(s.Slots, 1))
+	if over <= 0 {
+		return 0
+	}
+	backlog := s.backlog()
+	if backlog == 0 {
+		return over
+	}
+	return min(over, 1+over*float64(s.before(rank))/float64(backlog))
+}
 
 // crowding returns by which part the requests in progress, and one that needs
 // more tokens, exceed the engine's memory.
@@ -149,7 +154,7 @@
 	if s.Memory == 0 {
 		return 0
 	}
-	return max(float64(s.held+s.peers.Held+need)/float64(s.Memory)-1, 0)
+	return max(float64(s.held+s.peers.held+need)/float64(s.Memory)-1, 0)
 }
 
 // hanging returns for how long the server has answered none of the requests
--- a/router/internal/placement/ticket.go
+++ b/router/internal/placement/ticket.go
@@ -10,6 +10,7 @@
 	service *service
 	begun   time.Time
 	group   group
+	rank    int
 
 	// expected is the time to the answer, or to its first event, that was
 	// expected.
@@ -18,8 +19,10 @@
 	// reading is the number of prompt tokens booked. It is zero after First.
 	reading int
 
-	// held is the number of tokens booked of the engine's memory.
+	// held is the number of tokens booked of the engine's memory, slot the part
+	// of its slots.
 	held int
+	slot float64
 
 	// queued is the number of prompt tokens that were to be read up to the end
 	// of this prompt.
@@ -69,7 +72,7 @@
 	}
 	t.server.observe(now, measured, t.expected+engineStart)
 	t.learnSpeed(measured)
-	t.server.reading -= t.reading
+	t.server.reading.add(t.rank, -t.reading)
 	t.reading = 0
 }
 
@@ -101,8 +104,11 @@
 	defer t.board.mu.Unlock()
 	s := t.server
 	s.running--
+	if s.Engine {
+		t.service.demand.holding[t.group] -= t.slot
+	}
 	s.held -= t.held
-	s.reading -= t.reading
+	s.reading.add(t.rank, -t.reading)
 	t.reading = 0
 	if s.running == 0 || end != Left {
 		s.waiting = time.Time{}
--- a/router/internal/placement/work.go
+++ b/router/internal/placement/work.go
@@ -35,9 +35,28 @@
 	// Target is the time to the first event that the request is due.
 	Target time.Duration
 
+	// Rank is the place of the request in the order in which engines take
+	// requests; 0 is first.
+	Rank int
+
+	// name is that of the session, or zero if the request shares nothing but
+	// what is common.
+	name uint64
+
 	// common is the number of prompt tokens that every server is believed to
-	// keep. The board sets it.
-	common int
+	// keep, keepers are the servers that got the session lately, flow is the
+	// number of tokens that each server reads in a second. The board sets them.
+	common  int
+	keepers []keeper
+	flow    float64
+
+	// routers is the number of routers that are heard, with this one. The board
+	// sets it.
+	routers int
+
+	// crowd is the usual wait at the servers of the work's group, as a part of
+	// the wait from which on work is refused. The board sets it.
+	crowd float64
 }
 
 // shared returns the tokens of the parts that other requests share.
@@ -49,19 +68,29 @@
 	return n
 }
 
-// unread returns the tokens of the prompt that a server has to read. The home
-// of the session is believed to keep all shared parts, each other server those
-// that are common.
-func (w *Work) unread(home bool) int {
-	if home {
+// unread returns the tokens of the prompt that a server has to read. One that
+// keeps the session keeps all shared parts, each other server those that are
+// common.
+func (w *Work) unread(kept bool) int {
+	if kept {
 		return max(w.Prompt-w.shared(), 0)
 	}
 	return max(w.Prompt-w.common, 0)
 }
 
 // needs returns the tokens that the request takes of an engine's memory in the
-// end, beside what is common.
-func (w *Work) needs() int { return max(w.Prompt-w.common, 0) + w.Output }
+// end, beside what is kept there anyway.
+func (w *Work) needs(kept bool) int { return w.unread(kept) + w.Output }
+
+// economy returns which part of what a server reads for the work it has to read
+// at any server.
+func (w *Work) economy(kept bool) float64 {
+	unread := w.unread(kept)
+	if unread == 0 {
+		return 1
+	}
+	return float64(min(w.unread(true), unread)) / float64(unread)
+}
 
 // session returns the name of all shared parts. Requests with the same session
 // share most of their prompts.
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -256,6 +256,7 @@
 		Prompt:  x.call.Prompt,
 		Output:  x.call.Output,
 		Target:  x.class.Target,
+		Rank:    x.rank,
 	}
 	if x.call.Expected > 0 {
 		x.work.Output = x.call.Expected
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -18,7 +18,7 @@
 	if x.choice.Server != "" {
 		event = event.Dur("expected", x.choice.First).Str("chosen", x.choice.Server).Strs("servers", x.tried).Int("prompt", x.call.Prompt).Int("runs", x.runs).Float64("cost", x.choice.Cost).
 			Float64("next", x.choice.Next).Int("backlog", x.choice.Backlog).Int("load", x.choice.Load).
-			Bool("home", x.choice.Home).Int("speed", int(x.choice.Speed)).Int("urgent", x.choice.Urgent)
+			Bool("kept", x.choice.Kept).Int("speed", int(x.choice.Speed)).Int("apart", x.choice.Apart)
 	}
 	return event
 }
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -172,6 +172,7 @@
 		mover:   config.Mover,
 		clock:   config.Clock,
 		zone:    config.Zone,
+		name:    config.Peers.String(),
 		bounds:  config.Bounds,
 		room:    int64(roomPart * float64(config.Memory)),
 		asOf:    n.plans.AsOf,
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -25,10 +25,13 @@
 
 // options are what a relay is made with.
 type options struct {
-	codec  Codec
-	mover  Mover
-	clock  feed.Clock
-	zone   string
+	codec Codec
+	mover Mover
+	clock feed.Clock
+	zone  string
+
+	// name is the address by which other routers hear of this one.
+	name   string
 	bounds Bounds
 
 	// room is the number of bytes of bodies that are held at once, or zero if
@@ -81,7 +84,7 @@
 func newRelay(options options) *relay {
 	r := &relay{
 		options: options,
-		board:   placement.NewBoard(options.zone),
+		board:   placement.NewBoard(time.Now(), options.name, options.zone),
 		streams: newStreams(),
 		repeats: repeat.NewBudget(options.bounds.RetryRatio, options.bounds.RetryWindow),
 		meters:  newMeters(options.metrics),
