--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -148,7 +148,7 @@
 	harm := max(queued-bearable, 0) * float64(m.load()+1)
 	taken := float64(m.load()+1) / float64(max(m.Slots, 1))
 	harm += max(taken-roomyPart, 0) * s.residence[mixedGroup]
-	return foreignCost + harmWeight*harm
+	return visitDelay*work.Target.Seconds() + harmWeight*harm
 }
 
 // shortlist returns the servers of a group that are looked at for the work: the
@@ -217,6 +217,10 @@
 	bearablePart = 0.5
 	roomyPart    = 0.6
 
+	// visitDelay is the part of its target that a long prompt waits rather than
+	// visit the group apart.
+	visitDelay = 0.25
+
 	// foreignCost keeps requests in the range of their group, in seconds.
 	foreignCost = 0.05
 )
