--- a/router/internal/placement/demand.go
+++ b/router/internal/placement/demand.go
@@ -26,7 +26,7 @@
 
 	// mostExtra is by which factor the group apart may have more servers for
 	// that than its share.
-	mostExtra = 1.25
+	mostExtra = 1.7
 
 	// fillSlack is the number of servers that the group apart may lack for
 	// that.
