--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -82,7 +82,7 @@
 	// then gets no more work well within its bound. serverGap is used where
 	// there is no such bound.
 	planGap   = 50 * time.Millisecond
-	drainGap  = 0.25
+	drainGap  = 0.4
 	serverGap = 500 * time.Millisecond
 
 	// serverSettle is how long after an outage of the table a server whose
