Count requests by class and service, bound the lines about requests, merge repeated ones

Cause: on-call engineers could not see which class is refused or late, nor calls to the store, the age of the plan or lost log lines; a rush of refusals wrote a line each, and a failing note one each period.

Change: counters and histograms by class and by service (those that leave the plan go), calls to each table, gauges; at most 200 lines a second about requests and one a second about each matter that repeats, with counts of what was left out. A header beyond the plan's limit is rejected with 431. Fields that nobody read are gone (other lifetimes in notes, the extra budget, region, declared length, the plan's limits on time).

--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -50,6 +50,29 @@
 
 	// Report gets what happened to the follower. It must not block.
 	Report func(Event)
+
+	// Called gets each call that ended: whether it read the whole table or
+	// watched it, and its error or nil. It must not block, and may be nil.
+	Called func(call Call, err error)
+}
+
+// Call is a kind of call to a table.
+type Call uint8
+
+const (
+	// ReadCall reads the whole table.
+	ReadCall Call = iota
+
+	// WatchCall waits for changes.
+	WatchCall
+)
+
+// String returns the word for meters and logs.
+func (c Call) String() string {
+	if c == ReadCall {
+		return "read"
+	}
+	return "watch"
 }
 
 // Event tells what happened to a follower.
@@ -147,12 +170,12 @@
 // step makes one call and takes its answer.
 func (f *Follower[T]) step(ctx context.Context) error {
 	if !f.synced {
-		return f.call(ctx, readTimeout, func(ctx context.Context) (Reading[T], error) {
+		return f.call(ctx, ReadCall, readTimeout, func(ctx context.Context) (Reading[T], error) {
 			return f.config.Source.Read(ctx)
 		})
 	}
 	wait := f.wait()
-	return f.call(ctx, wait+watchSlack, func(ctx context.Context) (Reading[T], error) {
+	return f.call(ctx, WatchCall, wait+watchSlack, func(ctx context.Context) (Reading[T], error) {
 		return f.config.Source.Watch(ctx, f.revision, wait)
 	})
 }
@@ -178,11 +201,16 @@
 }
 
 // call makes a call, notes how current its answer is, and takes its rows.
-func (f *Follower[T]) call(ctx context.Context, limit time.Duration, do func(context.Context) (Reading[T], error)) error {
+func (f *Follower[T]) call(
+	ctx context.Context, kind Call, limit time.Duration, do func(context.Context) (Reading[T], error),
+) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := f.config.Clock()
 	reading, err := do(ctx)
+	if f.config.Called != nil {
+		f.config.Called(kind, err)
+	}
 	if err != nil {
 		return fmt.Errorf("call table: %w", err)
 	}
--- a/router/internal/decision/log_test.go
+++ b/router/internal/decision/log_test.go
@@ -25,7 +25,7 @@
 	out := blocked{release: make(chan struct{})}
 	log := decision.New(out, "vm")
 	for range 100000 {
-		log.Request().Str("request", "r").Msg("request ended")
+		log.Request(time.Now(), nil).Str("request", "r").Msg("request ended")
 	}
 	close(out.release)
 	if err := log.Close(); err != nil {
@@ -60,6 +60,42 @@
 	g.Expect(text).To(gomega.ContainSubstring(`"omitted":980`))
 }
 
+// TestFloodOfRefusalsStaysWithinItsLines has a rush in which each request is
+// refused. Lines that are left out are counted in the next one.
+func TestFloodOfRefusalsStaysWithinItsLines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out buffer
+	log := decision.New(&out, "vm")
+	now := time.Unix(1e9, 0)
+	const refused = 5000
+	for range refused {
+		log.Request(now, nil).Msg("request ended")
+	}
+	log.Request(now.Add(time.Second), errors.New("cut")).Msg("request repeated")
+	g.Expect(log.Close()).To(gomega.Succeed())
+	text := out.bytes.String()
+	g.Expect(strings.Count(text, "request ended")).To(gomega.Equal(200))
+	g.Expect(text).To(gomega.ContainSubstring(`"omitted":4800`))
+	g.Expect(log.Lost()).To(gomega.BeZero())
+}
+
+func TestLinesAboutOneMatterAreMerged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out buffer
+	log := decision.New(&out, "vm")
+	now := time.Unix(1e9, 0)
+	for i := range 30 {
+		log.Repeating(now.Add(time.Duration(i)*10*time.Millisecond), "note", errors.New("full")).Msg("note lost")
+	}
+	log.Repeating(now, "row", errors.New("bad")).Msg("row can't be used")
+	log.Repeating(now.Add(2*time.Second), "note", errors.New("full")).Msg("note lost")
+	g.Expect(log.Close()).To(gomega.Succeed())
+	text := out.bytes.String()
+	g.Expect(strings.Count(text, "note lost")).To(gomega.Equal(2))
+	g.Expect(text).To(gomega.ContainSubstring(`"merged":29`))
+	g.Expect(text).To(gomega.ContainSubstring("row can't be used"))
+}
+
 const logs = `   1.0 edge-1 {"vm":"a","time":"2030-01-01T00:00:10Z","message":"table lost"}
 {"vm":"a","time":"2030-01-01T00:00:11Z","request":"r1","message":"request ended"}
 not a line of ours
--- a/router/internal/hop/hop.go
+++ b/router/internal/hop/hop.go
@@ -53,9 +53,6 @@
 	Status int
 	Header http.Header
 
-	// Length is the declared length of the body, or -1.
-	Length int64
-
 	// Framed says that the end of the body shows on the connection; if not,
 	// the body ends with it.
 	Framed bool
@@ -116,7 +113,6 @@
 	answer := &Answer{
 		Status:  response.StatusCode,
 		Header:  response.Header,
-		Length:  response.ContentLength,
 		Framed:  response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		body:    response.Body,
 		conn:    c,
--- a/router/relay/answer.go
+++ b/router/relay/answer.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -92,6 +94,7 @@
 // refuse answers that the request did not run, and when to come back.
 func (x *exchange) refuse(reason string, after time.Duration) {
 	x.relay.meters.refused.Inc(1)
+	x.countClass(func(c *classMeters) metrics.Counter { return c.refused })
 	seconds := after.Seconds() * (1 + spread*rand.Float64())
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	x.fail(http.StatusServiceUnavailable, reason)
@@ -100,6 +103,7 @@
 // reject answers that the request is not allowed.
 func (x *exchange) reject(status int, reason string) {
 	x.relay.meters.refused.Inc(1)
+	x.countClass(func(c *classMeters) metrics.Counter { return c.refused })
 	x.fail(status, reason)
 }
 
@@ -117,7 +121,7 @@
 	case x.request.Context().Err() != nil:
 		x.abandoned()
 	case x.begun:
-		x.relay.meters.failed.Inc(1)
+		x.countFailed()
 		x.logEnd(0, "cut: "+reason)
 		panic(http.ErrAbortHandler) // Closes the connection, so that the answer does not look whole.
 	case x.runs == 0:
@@ -125,26 +129,27 @@
 	case x.fallback != nil:
 		x.giveFallback(reason)
 	case ctx.Err() != nil:
-		x.relay.meters.failed.Inc(1)
+		x.countFailed()
 		x.fail(http.StatusGatewayTimeout, reason)
 	default:
-		x.relay.meters.failed.Inc(1)
+		x.countFailed()
 		x.fail(http.StatusBadGateway, reason)
 	}
 }
 
 // giveFallback answers with a server's own failure.
 func (x *exchange) giveFallback(reason string) {
-	x.relay.meters.failed.Inc(1)
+	x.countFailed()
 	x.logEnd(x.fallback.status, reason)
 	if err := x.write(x.fallback); err != nil {
-		x.relay.options.log.Problem(err).Str("request", x.call.Attempt).Msg("answer lost")
+		x.relay.options.log.Request(time.Now(), err).Str("request", x.call.Attempt).Msg("answer lost")
 	}
 }
 
 // abandoned notes that the caller left.
 func (x *exchange) abandoned() {
 	x.relay.meters.abandoned.Inc(1)
+	x.countClass(func(c *classMeters) metrics.Counter { return c.abandoned })
 	x.logEnd(0, "caller left")
 	panic(http.ErrAbortHandler) // Nobody reads an answer.
 }
@@ -152,7 +157,9 @@
 // served notes a whole answer.
 func (x *exchange) served() {
 	x.relay.meters.served.Inc(1)
-	if x.late() || len(x.tried) > 1 {
+	late := x.late()
+	x.countServed(late)
+	if late || len(x.tried) > 1 {
 		x.logServed("served late or repeated")
 		return
 	}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -93,6 +93,7 @@
 		x.choice = choice
 		x.tried = append(x.tried, choice.Server)
 		outcome, err := x.attempt(ctx, ticket)
+		x.countAttempt(outcome)
 		switch {
 		case outcome == answered:
 			x.served()
@@ -135,8 +136,10 @@
 	case len(x.tried)-x.runs >= rejections:
 		return "rejected"
 	case !x.relay.repeats.Take(time.Now(), x.service):
+		x.countRepeat(false)
 		return "retry budget used up"
 	}
+	x.countRepeat(true)
 	x.relay.meters.repeats.Inc(1)
 	return ""
 }
--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -93,9 +93,6 @@
 	// Unexecuted says that the server did not run the request and never will.
 	Unexecuted bool
 
-	// Foreign says that another lifetime has the address.
-	Foreign bool
-
 	// Signed says that a backend server vouches for the answer.
 	Signed bool
 }
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -129,6 +129,10 @@
 	if x.class == nil {
 		return x.unknown(http.StatusNotFound, "no class")
 	}
+	if limit := x.view.plan.Limits.HeaderBytes; limit > 0 && headerSize(x.request) > limit {
+		x.reject(http.StatusRequestHeaderFieldsTooLarge, "header too long")
+		return false
+	}
 	if undecoded != nil {
 		x.reject(http.StatusBadRequest, undecoded.Error())
 		return false
@@ -136,6 +140,21 @@
 	return x.authorize()
 }
 
+// headerSize returns the length of a request's head as HTTP writes it, in bytes.
+func headerSize(request *http.Request) int {
+	size := len(request.Method) + len(request.RequestURI) + len(request.Proto) + len(request.Host) + headFraming
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// headFraming is the length of what stands between the parts of the first line,
+// around the host and at the end of a head.
+const headFraming = len("  \r\n") + len("Host: \r\n") + len("\r\n")
+
 // authorize finds the team of a request that needs a key. While the router
 // can't know whether a key was withdrawn, it takes none.
 func (x *exchange) authorize() bool {
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -25,24 +25,25 @@
 
 // logEnd tells a request that was not served.
 func (x *exchange) logEnd(status int, reason string) {
-	x.describe(x.relay.options.log.Request()).Int("status", status).Str("reason", reason).Msg("request ended")
+	x.describe(x.relay.options.log.Request(time.Now(), nil)).Int("status", status).Str("reason", reason).Msg("request ended")
 }
 
 // logServed tells a request that was served in an unusual way.
 func (x *exchange) logServed(message string) {
-	x.describe(x.relay.options.log.Request()).Dur("first", x.firstAfter).Dur("gap", x.longestGap).Msg(message)
+	x.describe(x.relay.options.log.Request(time.Now(), nil)).Dur("first", x.firstAfter).Dur("gap", x.longestGap).Msg(message)
 }
 
 // logRoutine tells a request that was served as usual.
 func (x *exchange) logRoutine() {
-	if event := x.relay.options.log.Routine(time.Now()); event != nil {
+	event := x.relay.options.log.Routine(time.Now())
+	if event != nil {
 		x.describe(event).Dur("first", x.firstAfter).Dur("gap", x.longestGap).Msg("served")
 	}
 }
 
 // logFailure tells an attempt after which there is none.
 func (x *exchange) logFailure(outcome result, err error) {
-	x.describe(x.relay.options.log.Problem(err)).Stringer("outcome", outcome).Msg("last attempt failed")
+	x.describe(x.relay.options.log.Request(time.Now(), err)).Stringer("outcome", outcome).Msg("last attempt failed")
 }
 
 // logRepeat tells an attempt after which there is another.
@@ -50,6 +51,6 @@
 	if x.begun {
 		x.relay.meters.resumed.Inc(1)
 	}
-	x.describe(x.relay.options.log.Problem(err)).Stringer("outcome", outcome).Bool("begun", x.begun).
+	x.describe(x.relay.options.log.Request(time.Now(), err)).Stringer("outcome", outcome).Bool("begun", x.begun).
 		Str("last", x.last).Msg("request repeated")
 }
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -25,10 +25,9 @@
 
 // Config is what a node is started with.
 type Config struct {
-	// VM, Zone and Region say where the node runs.
-	VM     string
-	Zone   string
-	Region string
+	// VM and Zone say where the node runs.
+	VM   string
+	Zone string
 
 	// Callers, Readiness and Operators are the addresses that are served:
 	// requests, the question whether callers should come here, and metrics
@@ -156,6 +155,7 @@
 		Gap:    planGap,
 		Apply:  n.applyPlans,
 		Report: n.reporter("plan"),
+		Called: n.callCounter("plan"),
 	})
 	n.servers = feed.NewFollower(feed.Config[Server]{
 		Source: config.Servers,
@@ -166,6 +166,7 @@
 		Linger: time.Duration(drainLinger * float64(config.Bounds.Drain)),
 		Apply:  func(rows map[string]Server) { n.relay.installServers(rows) },
 		Report: n.reporter("servers"),
+		Called: n.callCounter("servers"),
 	})
 	n.relay = newRelay(options{
 		codec:   config.Codec,
@@ -186,8 +187,11 @@
 		Seeds:   config.Seeds,
 		Board:   n.relay.board,
 		Age:     n.relay.age,
-		Report:  func(err error) { n.log.Problem(err).Msg("note lost") },
+		Report: func(err error) {
+			n.log.Repeating(time.Now(), "note", err).Msg("note lost")
+		},
 	})
+	n.registerGauges()
 	return n
 }
 
@@ -223,7 +227,7 @@
 		case e.Regained:
 			n.log.Change().Str("table", table).Dur("away", e.Away).Msg("table regained")
 		default:
-			n.log.Problem(e.Err).Str("table", table).Str("key", e.Key).Msg("row can't be used")
+			n.log.Repeating(time.Now(), table+" "+e.Key, e.Err).Str("table", table).Str("key", e.Key).Msg("row can't be used")
 		}
 	}
 }
--- a/router/relay/plan.go
+++ b/router/relay/plan.go
@@ -119,11 +119,6 @@
 	// HeaderBytes and BodyBytes bound the sizes; zero means no bound.
 	HeaderBytes int
 	BodyBytes   int64
-
-	// HeaderTimeout bounds the time for sending a header, IdleTimeout that
-	// for which a connection without a request is kept.
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
 }
 
 // Server is a backend server as it registered itself.
@@ -154,9 +149,8 @@
 	// Grace is the time between the signal to stop and the end by force.
 	Grace time.Duration
 
-	// RetryRatio and RetryExtra bound the repeats at a service in a window:
-	// the ratio of the requests for it plus some that all routers share.
+	// RetryRatio bounds the repeats at a service in a window, as a part of the
+	// requests for it.
 	RetryRatio  float64
-	RetryExtra  int
 	RetryWindow time.Duration
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -59,7 +59,7 @@
 	board   *placement.Board
 	repeats *repeat.Budget
 	streams *streams
-	meters  meters
+	meters  *meters
 
 	view     atomic.Pointer[view]
 	servers  atomic.Pointer[map[string]*target]
@@ -108,6 +108,7 @@
 	for name, targets := range targetsByService(plan) {
 		r.board.SetTargets(name, targets)
 	}
+	r.meters.follow(plan)
 	r.view.Store(next)
 	r.place()
 	r.options.log.Change().Int64("version", plan.Version).Int("classes", len(plan.Classes)).
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -301,3 +303,34 @@
 		g.Expect(got.header.Get(signedHeader)).To(gomega.Equal("yes"))
 	}
 }
+
+func TestHeaderBeyondTheLimitIsRejected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	plan := planOf(class("a", relay.Idempotent, 1))
+	plan.Limits.HeaderBytes = 500
+	r, backends := start(t, plan, serve("ok"))
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "").status).To(gomega.Equal(http.StatusOK))
+	got := r.call(t, http.MethodGet, "/a/"+strings.Repeat("x", 500), "")
+	g.Expect(got.status).To(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
+	g.Expect(backends[0].arrived.Load()).To(gomega.Equal(int32(1)))
+}
+
+// TestMetersTellOutcomesByClass serves a class, and then puts a plan in force
+// that has it no more.
+func TestMetersTellOutcomesByClass(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, _ := start(t, planOf(class("a", relay.Idempotent, 1)), serve("ok"))
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "").status).To(gomega.Equal(http.StatusOK))
+	g.Expect(r.call(t, http.MethodGet, "/b/x", "").status).To(gomega.Equal(http.StatusNotFound))
+	served := regexp.MustCompile(`class\.a\.served\s+count:\s+1\s`)
+	r.await(t, func() bool { return served.MatchString(r.metrics(t)) }) // Counted after the caller has its answer.
+	text := r.metrics(t)
+	g.Expect(text).To(gomega.MatchRegexp(`service\.s\.answered\s+count:\s+1\s`))
+	g.Expect(text).To(gomega.MatchRegexp(`plan\.version\s+value:\s+1\s`))
+	g.Expect(text).To(gomega.ContainSubstring("table.plan.read"))
+	next := planOf(class("b", relay.Idempotent, 1))
+	next.Version = 2
+	r.plans.set(feed.Change[relay.Plan]{Key: "plan", Value: next})
+	r.await(t, func() bool { return r.call(t, http.MethodGet, "/b/x", "").status == http.StatusOK })
+	g.Expect(r.metrics(t)).NotTo(gomega.ContainSubstring("class.a."))
+}
--- a/router/relay/rig_test.go
+++ b/router/relay/rig_test.go
@@ -319,10 +319,10 @@
 	}
 }
 
-// dump reads the state dump.
-func (r *rig) dump(t *testing.T) map[string]any {
+// ask reads what operators are served at a path.
+func (r *rig) ask(t *testing.T, path string) []byte {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+r.state+"/state", nil)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+r.state+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -331,9 +331,25 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// dump reads the state dump.
+func (r *rig) dump(t *testing.T) map[string]any {
+	t.Helper()
 	var state map[string]any
-	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+	if err := json.Unmarshal(r.ask(t, "/state"), &state); err != nil {
 		t.Fatal(err)
 	}
 	return state
 }
+
+// metrics reads the meters.
+func (r *rig) metrics(t *testing.T) string {
+	t.Helper()
+	return string(r.ask(t, "/metrics"))
+}
--- a/router/relay/settings.go
+++ b/router/relay/settings.go
@@ -37,7 +37,7 @@
 	}
 	next, err := n.config.Reload()
 	if err != nil {
-		n.log.Problem(err).Msg("settings can't be used")
+		n.log.Repeating(time.Now(), "settings", err).Msg("settings can't be used")
 		return
 	}
 	if next == *n.relay.bounds.Load() {
