Give each test its own loopback address

A rig takes a free port, lets it go and has the node bind it; another process on 127.0.0.1 may take it in between. Seen again with six processes at once: 4 of 6 hung or got the answer of another process (404 page not found).

Ruled out: the log's ring and the meters' locks, by the stacks of the hung runs, which waited for a node that could not listen.

--- a/router/internal/notice/notice_test.go
+++ b/router/internal/notice/notice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -47,11 +49,13 @@
 	return len(b.heard)
 }
 
-// free returns a free port of the loopback address.
+// free returns a free port of an address of the loopback network that no other
+// test is likely to use.
 func free(t *testing.T) netip.AddrPort {
 	t.Helper()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 	var listen net.ListenConfig
-	conn, err := listen.ListenPacket(t.Context(), "udp4", "127.0.0.1:0")
+	conn, err := listen.ListenPacket(t.Context(), "udp4", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/router/relay/rig_test.go
+++ b/router/relay/rig_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -145,11 +146,18 @@
 	ahead   atomic.Int64
 }
 
-// address returns a free address.
-func address(t *testing.T) string {
+// loopback returns an address of the loopback network that no other test is
+// likely to use. On a shared one, another test process may take a free port
+// before a node binds it.
+func loopback() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
+// address returns a free address of a host.
+func address(t *testing.T, host string) string {
 	t.Helper()
 	var listen net.ListenConfig
-	listener, err := listen.Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	listener, err := listen.Listen(t.Context(), "tcp4", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -175,7 +183,8 @@
 // startWith is start with a mover.
 func startWith(t *testing.T, m relay.Mover, plan relay.Plan, handlers ...http.HandlerFunc) (*rig, []*backend) {
 	t.Helper()
-	r := &rig{callers: address(t), ready: address(t), state: address(t)}
+	host := loopback()
+	r := &rig{callers: address(t, host), ready: address(t, host), state: address(t, host)}
 	clock := func() time.Duration { return relay.SinceBoot() + time.Duration(r.ahead.Load()) }
 	r.plans = &fixed[relay.Plan]{clock: clock}
 	r.servers = &fixed[relay.Server]{clock: clock}
