Tell settings that are used in part; split the choice of engines by what decides

Change: problems of the settings are logged at the start. choose.go has which engines are looked at, visit.go the other group's, cost.go what each costs, directory.go what is known of sessions. Code was moved, not changed.

--- a/router/internal/placement/directory.go
+++ b/router/internal/placement/directory.go
@@ -95,3 +95,28 @@
 	}
 	return false
 }
+
+// inform adds to the work what is believed of its session and of the service.
+// The caller holds b.mu.
+func (b *Board) inform(now time.Time, work *Work, of *service) {
+	work.routers = len(b.peers) + 1
+	work.common = of.common(now, work, work.routers)
+	if work.common < work.shared() {
+		work.name = work.session()
+		work.keepers = b.sessions.keepers(short(work.name))
+	}
+	work.flow = (of.flow.current(now) + of.peerFlow) / float64(max(len(of.members), 1))
+}
+
+// use notes that the work was placed on a server. The caller holds b.mu.
+func (b *Board) use(now time.Time, work *Work, of *service, s *server) {
+	if len(work.Parts) > 1 {
+		of.usage.see(now, work.Parts[0].ID)
+	}
+	if work.name == 0 {
+		return
+	}
+	use := Use{Session: short(work.name), Server: short(s.hash)}
+	b.sessions.see(now, use)
+	b.uses = append(b.uses, use)
+}
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -42,6 +42,10 @@
 	Peers netip.AddrPort
 	Seeds []netip.AddrPort
 
+	// Problems are what is wrong with the settings though the node can run. They
+	// are logged at the start.
+	Problems []error
+
 	// Memory is the VM's memory for the process in bytes, or zero.
 	Memory int64
 
@@ -241,6 +245,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.log.Change().Str("zone", n.config.Zone).Str("callers", n.config.Callers).Msg("router started")
+	for _, problem := range n.config.Problems {
+		n.log.Problem(problem).Msg("settings used in part")
+	}
 	var group run.Group
 	group.Add(func() error { return n.awaitStop(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.followSettings(ctx) }, func(error) { cancel() })
