--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -334,3 +335,22 @@
 	r.await(t, func() bool { return r.call(t, http.MethodGet, "/b/x", "").status == http.StatusOK })
 	g.Expect(r.metrics(t)).NotTo(gomega.ContainSubstring("class.a."))
 }
+
+// TestStreamThatPausesIsLate has a server that begins at once and then pauses
+// for longer than the class allows.
+func TestStreamThatPausesIsLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const gap = 5 * time.Millisecond
+	pauses := func(w http.ResponseWriter, q *http.Request) {
+		events(1, 1, true)(w, q)
+		time.Sleep(4 * gap)
+		q.Header.Set(afterHeader, "1")
+		events(2, 2, true)(w, q)
+	}
+	stream := class("a", relay.Stream, 1)
+	stream.Gap = gap
+	r, _ := start(t, planOf(stream), pauses)
+	g.Expect(r.call(t, http.MethodPost, "/a/x", "").body).To(gomega.Equal("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"))
+	late := regexp.MustCompile(`class\.a\.late\s+count:\s+1\s`)
+	r.await(t, func() bool { return late.MatchString(r.metrics(t)) })
+}
