Take all addresses of a test rig before one is let go

The rig took a port, let it go and took the next one, so that two of its three addresses could be the same.

Ruled out: other processes, as each rig now has a loopback address of its own.

--- a/router/relay/rig_test.go
+++ b/router/relay/rig_test.go
@@ -153,16 +153,21 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 }
 
-// address returns a free address of a host.
-func address(t *testing.T, host string) string {
+// addresses returns free addresses of a host. All are taken before one is let
+// go, so that they differ.
+func addresses(t *testing.T, host string, n int) []string {
 	t.Helper()
-	var listen net.ListenConfig
-	listener, err := listen.Listen(t.Context(), "tcp4", host+":0")
-	if err != nil {
-		t.Fatal(err)
+	var free []string
+	for range n {
+		var listen net.ListenConfig
+		listener, err := listen.Listen(t.Context(), "tcp4", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		free = append(free, listener.Addr().String())
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return free
 }
 
 // class returns a class of the service that all backends of a rig belong to.
@@ -183,8 +188,8 @@
 // startWith is start with a mover.
 func startWith(t *testing.T, m relay.Mover, plan relay.Plan, handlers ...http.HandlerFunc) (*rig, []*backend) {
 	t.Helper()
-	host := loopback()
-	r := &rig{callers: address(t, host), ready: address(t, host), state: address(t, host)}
+	free := addresses(t, loopback(), 3)
+	r := &rig{callers: free[0], ready: free[1], state: free[2]}
 	clock := func() time.Duration { return relay.SinceBoot() + time.Duration(r.ahead.Load()) }
 	r.plans = &fixed[relay.Plan]{clock: clock}
 	r.servers = &fixed[relay.Server]{clock: clock}
