--- a/router/internal/placement/rush_test.go
+++ b/router/internal/placement/rush_test.go
@@ -191,52 +191,61 @@
 	r.now = until
 }
 
+// traffic makes chats and drafts come at rates for a time.
+func (r *rush) traffic(chats, drafts float64, d time.Duration) {
+	end := r.now.Add(d)
+	r.arrive(chats, end, r.chat)
+	r.arrive(drafts, end, r.draft)
+}
+
+// expectChatsOnTime checks that chats began as soon as the users want.
+func (r *rush) expectChatsOnTime(g gomega.Gomega) {
+	g.Expect(share(r.chatsOnTime, r.chats)).To(gomega.BeNumerically(">=", onTime), "chats")
+}
+
+// expectLittleReadAgain checks that engines kept the sessions: each has to be
+// read once, and of the rest at most one in ten again.
+func (r *rush) expectLittleReadAgain(g gomega.Gomega) {
+	g.Expect(r.again).To(gomega.BeNumerically("<=", sessions+(r.shared-sessions)/10), "of %d", r.shared)
+}
+
 func share(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
 
 func TestLongDraftsDoNotDelayShortChats(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(1)
-	end := r.now.Add(30 * time.Second)
-	r.arrive(40, end, r.chat)
-	r.arrive(40, end, r.draft)
+	r.traffic(40, 40, 30*time.Second)
 	r.play(40 * time.Second)
-	g.Expect(share(r.chatsOnTime, r.chats)).To(gomega.BeNumerically(">=", onTime), "chats")
+	r.expectChatsOnTime(g)
 	g.Expect(share(r.draftsOnTime, r.drafts)).To(gomega.BeNumerically(">=", onTime), "drafts")
 }
 
 func TestBurstOfDraftsDoesNotDelayShortChats(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(2)
-	end := r.now.Add(30 * time.Second)
-	r.arrive(40, end, r.chat)
-	r.arrive(35, end, r.draft)
+	r.traffic(40, 35, 30*time.Second)
 	r.play(8 * time.Second)
 	r.arrive(35, r.now.Add(5*time.Second), r.draft)
 	r.play(32 * time.Second)
-	g.Expect(share(r.chatsOnTime, r.chats)).To(gomega.BeNumerically(">=", onTime), "chats")
+	r.expectChatsOnTime(g)
 	g.Expect(share(r.draftsOnTime, r.drafts)).To(gomega.BeNumerically(">=", onTime), "drafts")
 }
 
 func TestSessionsReturnToTheEngineThatKeepsThem(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(3)
-	end := r.now.Add(40 * time.Second)
-	r.arrive(20, end, r.chat)
-	r.arrive(30, end, r.draft)
+	r.traffic(20, 30, 40*time.Second)
 	r.play(60 * time.Second)
-	// Each session has to be read once; of the rest at most one in ten again.
-	g.Expect(r.again).To(gomega.BeNumerically("<=", sessions+(r.shared-sessions)/10))
+	r.expectLittleReadAgain(g)
 }
 
 func TestSlowEngineGetsLessWork(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(4)
 	r.engines["engine-5"].slow = 8
-	end := r.now.Add(30 * time.Second)
-	r.arrive(40, end, r.chat)
-	r.arrive(25, end, r.draft)
+	r.traffic(40, 25, 30*time.Second)
 	r.play(40 * time.Second)
-	g.Expect(share(r.chatsOnTime, r.chats)).To(gomega.BeNumerically(">=", onTime), "chats")
+	r.expectChatsOnTime(g)
 }
 
 // TestRushBeyondCapacityServesManyOnTime asks for a third more than the engines
@@ -245,11 +254,9 @@
 func TestRushBeyondCapacityServesManyOnTime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(5)
-	end := r.now.Add(30 * time.Second)
-	r.arrive(40, end, r.chat)
-	r.arrive(200, end, r.draft)
+	r.traffic(40, 200, 30*time.Second)
 	r.play(60 * time.Second)
-	g.Expect(share(r.chatsOnTime, r.chats)).To(gomega.BeNumerically(">=", onTime), "chats")
+	r.expectChatsOnTime(g)
 	// The engines of the drafts could read about three quarters of them.
 	g.Expect(share(r.draftsOnTime, r.drafts)).To(gomega.BeNumerically(">=", 0.5), "drafts")
 }
@@ -259,9 +266,7 @@
 func TestTriedServerDoesNotMoveTheBorder(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(6)
-	end := r.now.Add(10 * time.Second)
-	r.arrive(40, end, r.chat)
-	r.arrive(40, end, r.draft)
+	r.traffic(40, 40, 10*time.Second)
 	r.play(10 * time.Second)
 	border := func(tried []string) int {
 		ticket, choice, err := r.boards[0].Pick(r.now, placement.Work{
--- a/router/internal/placement/session_test.go
+++ b/router/internal/placement/session_test.go
@@ -79,9 +79,7 @@
 func TestRoutersAgreeOnTheBorder(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(7)
-	end := r.now.Add(20 * time.Second)
-	r.arrive(60, end, r.chat)
-	r.arrive(20, end, r.draft)
+	r.traffic(60, 20, 20*time.Second)
 	r.play(12 * time.Second)
 	late := r.join()
 	r.play(2 * time.Second)
@@ -147,12 +145,10 @@
 func TestRushOfDraftsReadsLittleAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRush(8)
-	end := r.now.Add(30 * time.Second)
-	r.arrive(40, end, r.chat)
-	r.arrive(250, end, r.draft)
+	r.traffic(40, 250, 30*time.Second)
 	r.play(60 * time.Second)
-	g.Expect(share(r.chatsOnTime, r.chats)).To(gomega.BeNumerically(">=", onTime), "chats")
-	g.Expect(r.again).To(gomega.BeNumerically("<=", sessions+(r.shared-sessions)/10), "of %d", r.shared)
+	r.expectChatsOnTime(g)
+	r.expectLittleReadAgain(g)
 }
 
 // TestLongPromptsVisitIdleEnginesOneByOne sends more long prompts at once than
