Accept keys by the proofs of all routers, and watch the plan for longer

Change: keys are accepted as long as the plan is proved by any router. A proof is about the store, and one from after a revocation does not hold for a copy without it, so a router that lacks the revocation is never told that its copy is current. Watches of the plan wait for 8 s like those of the servers. AsOf takes all proofs; the separate time of the router's own calls is gone.

--- a/coordination/feed/config.go
+++ b/coordination/feed/config.go
@@ -45,7 +45,7 @@
 
 	// OnResponse is called after each response, when Proof already includes it,
 	// with the kind of the call, the revision and the clock. They prove something
-	// about other tables of the same store; see Follower.Prove. It must not block.
+	// about other tables of the same store; see Follower.Learn. It must not block.
 	// It may be nil.
 	OnResponse func(call Call, revision int64, clock time.Duration)
 }
--- a/coordination/feed/evidence.go
+++ b/coordination/feed/evidence.go
@@ -12,12 +12,10 @@
 	loaded   bool
 	revision int64
 
-	// proof is the newest proof that holds for the copy, and provedAsOf the local
-	// time of its Clock. asOf is the local time up to which the follower's own
-	// process has proved the copy to be current.
-	proof      Proof
-	provedAsOf time.Duration
-	asOf       time.Duration
+	// proof is the newest proof that holds for the copy, and asOf the local time
+	// up to which the copy is proved to be current.
+	proof Proof
+	asOf  time.Duration
 
 	// missed is the newest revision reported by others that changed the table
 	// and is missing from the copy, or zero, and missedAt when it was first
@@ -44,7 +42,7 @@
 	e.loaded = true
 	e.revision = max(e.revision, revision)
 	e.proof.Clock = max(e.proof.Clock, clock)
-	e.provedAsOf, e.asOf = max(e.provedAsOf, local), max(e.asOf, local)
+	e.asOf = max(e.asOf, local)
 	if e.missed <= e.revision {
 		e.missed = 0
 	}
@@ -59,9 +57,9 @@
 	}
 }
 
-// use records a proof from elsewhere. own says that it comes from a call of the
-// follower's own process. It reports whether the copy turned out to be outdated.
-func (e *evidence) use(p Proof, now time.Duration, own bool) (outdated bool) {
+// use records a proof from elsewhere and reports whether the copy turned out to
+// be outdated.
+func (e *evidence) use(p Proof, now time.Duration) (outdated bool) {
 	if !e.loaded || p.IsZero() {
 		return false
 	}
@@ -72,13 +70,10 @@
 	if p.Covered > e.revision || local > now {
 		return false // Not about this copy, or from another life of the store's clock.
 	}
-	if own {
-		e.asOf = max(e.asOf, local)
-	}
 	if p.Clock > e.proof.Clock {
 		changed := max(e.proof.Changed, p.Changed)
 		e.proof = Proof{Changed: changed, Covered: max(changed, min(e.proof.Covered, p.Covered)), Clock: p.Clock}
-		e.provedAsOf = max(e.provedAsOf, local)
+		e.asOf = max(e.asOf, local)
 	}
 	return false
 }
--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -108,22 +108,14 @@
 	return f
 }
 
-// AsOf returns the time on the follower's clock up to which calls of its own
-// process have proved its copy to be current. It returns false before the first
-// response.
+// AsOf returns the time on the follower's clock up to which its copy is proved to
+// be current. It returns false before the first response.
 func (f *Follower[T]) AsOf() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.evidence.asOf, f.evidence.loaded
 }
 
-// ProvedAsOf is like AsOf but also takes proofs of other processes into account.
-func (f *Follower[T]) ProvedAsOf() (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.evidence.provedAsOf, f.evidence.loaded
-}
-
 // OutageDuration returns for how long the current outage has lasted, or zero if
 // there is none.
 func (f *Follower[T]) OutageDuration() time.Duration {
@@ -142,19 +134,12 @@
 	return f.evidence.proof
 }
 
-// Prove tells the follower what a call of its own process to another table of
-// the same store has shown: the store's newest revision and its clock.
-func (f *Follower[T]) Prove(revision int64, clock time.Duration) {
-	f.useProof(Proof{Covered: revision, Clock: clock}, true)
-}
-
-// Hear tells the follower a proof of another process.
-func (f *Follower[T]) Hear(p Proof) { f.useProof(p, false) }
-
-// useProof records a proof and wakes up Run if the copy is outdated.
-func (f *Follower[T]) useProof(p Proof, own bool) {
+// Learn gives the follower a proof from elsewhere: from a follower of the same
+// table, or from a call to another table of the same store, whose response
+// covers all tables up to its revision. It does not block.
+func (f *Follower[T]) Learn(p Proof) {
 	f.mu.Lock()
-	outdated := f.evidence.use(p, f.config.Clock(), own)
+	outdated := f.evidence.use(p, f.config.Clock())
 	f.mu.Unlock()
 	if !outdated {
 		return
@@ -230,7 +215,7 @@
 	defer f.mu.Unlock()
 	due := f.config.Clock() + maxAwait
 	if f.config.MaxUnproved > 0 {
-		due = f.evidence.provedAsOf + f.unprovedLimit
+		due = f.evidence.asOf + f.unprovedLimit
 	}
 	if f.evidence.missed > 0 {
 		due = min(due, f.evidence.missedAt+missedDelay)
@@ -463,7 +448,7 @@
 // age returns the time since the copy was last known to be current, or zero
 // before the first response.
 func (f *Follower[T]) age(now time.Duration) time.Duration {
-	asOf, ok := f.ProvedAsOf()
+	asOf, ok := f.AsOf()
 	if !ok {
 		return 0
 	}
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -17,8 +17,8 @@
 		PlanAge:  n.relay.planAge,
 		Proofs:   n.proofs,
 		HearProofs: func(p loadreport.Proofs) {
-			n.plans.Hear(p.Plan)
-			n.servers.Hear(p.Servers)
+			n.plans.Learn(p.Plan)
+			n.servers.Learn(p.Servers)
 		},
 		ReportError: func(err error) {
 			n.log.RepeatedFailure(time.Now(), "load report", err).Msg("load report lost")
@@ -31,17 +31,15 @@
 	return loadreport.Proofs{Plan: n.plans.Proof(), Servers: n.servers.Proof()}
 }
 
-// prover is a follower of another table of the same store.
-type prover interface {
-	Prove(revision int64, clock time.Duration)
-}
+// learner is a follower of any table.
+type learner interface{ Learn(feed.Proof) }
 
 // shareProof tells the follower of the other table, and unless the call was a
 // watch also the other routers, what a response proves. The others then need not
 // check their copies. Watches end often enough at some router, and their proofs
 // go out with the next load report.
-func (n *Node) shareProof(other prover, call feed.Call, revision int64, clock time.Duration) {
-	other.Prove(revision, clock)
+func (n *Node) shareProof(other learner, call feed.Call, revision int64, clock time.Duration) {
+	other.Learn(feed.Proof{Covered: revision, Clock: clock})
 	if call != feed.WatchCall {
 		n.broadcaster.AnnounceProofs()
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -41,11 +41,10 @@
 	maxBodyMemory int64
 
 	// planAsOf returns the time on the clock up to which the plan is known to
-	// be the newest, by the calls of this router, and false before the first plan.
+	// be the newest, and false before the first plan.
 	planAsOf func() (time.Duration, bool)
 
-	// serversAsOf returns the same for the list of servers, by the proofs of any
-	// router.
+	// serversAsOf returns the same for the list of servers.
 	serversAsOf func() (time.Duration, bool)
 
 	// planUnreachableFor returns for how long the plan has been unreachable, or
--- a/router/relay/tables.go
+++ b/router/relay/tables.go
@@ -7,16 +7,10 @@
 )
 
 const (
-	// planWatchFraction is the fraction of the maximum revocation delay for
-	// which a watch of the plan waits. Together with the timeout of the watch
-	// and a second call, the age of the plan stays below the bound if one
-	// response is lost.
-	planWatchFraction = 0.5
-
-	// maxWatchWait bounds the wait of a watch, also without a maximum
-	// revocation delay. It is long because each call has a cost. A silent
-	// connection is noticed sooner, as the copies of the tables are checked.
-	maxWatchWait = 8 * time.Second
+	// watchWait is the wait of a watch. It is long because each call has a cost.
+	// A silent connection is noticed sooner, as the copies of the tables are
+	// checked.
+	watchWait = 8 * time.Second
 
 	// unprovedFraction is the fraction of the delay with which a change has to
 	// be in force for which the copy of a table may go without a proof that it is
@@ -55,12 +49,13 @@
 	serverRemovalGraceFraction = 0.35
 )
 
-// planWatchWait returns how long a watch of the plan waits.
-func planWatchWait(bounds Bounds) time.Duration {
-	if bounds.MaxRevocationDelay == 0 {
-		return maxWatchWait
+// planDelay returns the delay with which a change of the plan has to be in force:
+// the shorter of those for keys and for all else that is set, or zero.
+func planDelay(bounds Bounds) time.Duration {
+	if bounds.MaxPlanDelay == 0 || bounds.MaxRevocationDelay == 0 {
+		return max(bounds.MaxPlanDelay, bounds.MaxRevocationDelay)
 	}
-	return min(time.Duration(planWatchFraction*float64(bounds.MaxRevocationDelay)), maxWatchWait)
+	return min(bounds.MaxPlanDelay, bounds.MaxRevocationDelay)
 }
 
 // maxUnproved returns for how long the copy of a table may go without a proof
