Send nothing to a server that began to leave after it was chosen

Cause: a choice of a server was used later without a second look. Between choice and first byte are the opening of a connection (up to 300 ms) and, for a stream that migrates, the copy of its KV cache (up to 1.5 s), on top of the time that the leaving takes to arrive. Change: the current list is asked again right before the first byte is written. If the server is leaving by then, nothing is sent, which counts neither as an attempt nor against the server. Why it works: the check and the write follow each other without waiting in between. Test: TestMigratedStreamDoesNotContinueOnALeavingServer failed before: the stream went on at a server that was draining.

--- a/router/internal/hop/hop.go
+++ b/router/internal/hop/hop.go
@@ -46,9 +46,10 @@
 	// HasBody says that the caller's request had a body, which may be empty.
 	HasBody bool
 
-	// BeforeWrite is called before the first byte is written to a connection.
-	// It may be nil.
-	BeforeWrite func()
+	// BeforeWrite is called before the first byte is written to a connection. If
+	// it returns an error, nothing is written and the exchange fails with that
+	// error. It may be nil.
+	BeforeWrite func() error
 
 	// Matches reports whether the response with this header belongs to the
 	// exchange.
@@ -85,6 +86,12 @@
 		}
 		c = dialed
 	}
+	if r.BeforeWrite != nil {
+		if err := r.BeforeWrite(); err != nil {
+			_ = c.Close()
+			return nil, &link.ExchangeError{Reused: c.reused, Err: err}
+		}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := p.exchange(c, r)
 	if err != nil {
@@ -105,9 +112,6 @@
 func (p *Pool) exchange(c *conn, r Request) (*Response, error) {
 	written := &atomic.Bool{}
 	head := encodeHead(r)
-	if r.BeforeWrite != nil {
-		r.BeforeWrite()
-	}
 	if len(head)+len(r.Body) <= maxSingleWrite {
 		if _, err := c.Write(append(head, r.Body...)); err != nil {
 			return nil, fmt.Errorf("write request: %w", err)
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -24,6 +24,10 @@
 	// signature.
 	errUnsigned = errors.ConstError("response without signature")
 
+	// errServerLeaving means that a server stopped accepting requests after it
+	// was chosen.
+	errServerLeaving = errors.ConstError("server is leaving")
+
 	// errTruncated means that a response ended early or exceeded a size limit.
 	errTruncated = errors.ConstError("response truncated")
 
@@ -232,7 +236,7 @@
 	maybeSent := !errors.As(err, &exchangeErr) || exchangeErr.MaybeSent
 	canceled := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled)
 	switch {
-	case canceled:
+	case canceled, errors.Is(err, errServerLeaving):
 		reservation.Done(time.Now(), placement.Canceled)
 	case !maybeSent:
 		reservation.Done(time.Now(), placement.Unreachable)
@@ -265,8 +269,12 @@
 		Header:  header,
 		Body:    p.body,
 		HasBody: p.hasBody,
-		BeforeWrite: func() {
+		BeforeWrite: func() error {
+			if !p.relay.accepts(target) {
+				return errServerLeaving
+			}
 			p.sendDelay = time.Since(p.chosenAt)
+			return nil
 		},
 		Matches: func(header http.Header) bool {
 			info := p.relay.options.codec.ParseResponse(0, header)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -167,6 +167,13 @@
 	r.updateBalancer()
 }
 
+// accepts reports whether a server that was chosen earlier still accepts new
+// requests.
+func (r *relay) accepts(chosen *backendServer) bool {
+	current, ok := (*r.servers.Load())[chosen.ID]
+	return ok && !current.Draining && current.pool == chosen.pool
+}
+
 // setBounds replaces the bounds in force.
 func (r *relay) setBounds(bounds Bounds) {
 	r.bounds.Store(&bounds)
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,6 +248,56 @@
 	g.Expect(<-copies).To(gomega.Equal(source + "/h1"))
 }
 
+// Guards against requests that reach a leaving server because it was chosen
+// before: the destination of a migration begins to drain while the KV cache is
+// copied there.
+func TestMigratedStreamDoesNotContinueOnALeavingServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	plan := newPlan(newClass("a", relay.Stream, 1))
+	plan.Services[0] = relay.Service{Name: "s", Slots: 4, TokensPerEvent: 1, SupportsMigration: true}
+	stopped := make(chan struct{})
+	began := make(chan string, 1)
+	var continued atomic.Int32
+	engine := func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(kvCopyHeader) != "" {
+			continued.Add(1)
+			streamEvents(1, 4, true)(w, req)
+			return
+		}
+		w.Header().Set(signedHeader, "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		began <- req.Header.Get(instanceHeader)
+		<-stopped
+		panic(http.ErrAbortHandler)
+	}
+	var r *testNode
+	var backends []*backend
+	drain := func(leaves func(id string) bool) {
+		var rows []feed.Change[relay.Server]
+		for _, b := range backends {
+			rows = append(rows, feed.Change[relay.Server]{Key: b.id, Value: relay.Server{
+				ID: b.id, Service: "s", Address: b.server.Listener.Addr().String(), Slots: 4, Draining: leaves(b.id),
+			}})
+		}
+		r.servers.set(rows...)
+	}
+	migrator := migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
+		drain(func(string) bool { return true })
+		r.waitUntil(t, func() bool { return len(r.stateDump(t)["Servers"].([]any)) == 0 })
+		close(stopped)
+		return relay.KVCopy{Source: request.Source, Handle: "h1"}, nil
+	})
+	r, backends = startNodeWithMigrator(t, migrator, plan, engine, engine)
+	got := make(chan reply, 1)
+	go func() { got <- r.call(t, http.MethodPost, "/a/x", "") }()
+	source := <-began
+	drain(func(id string) bool { return id == source })
+	end := <-got
+	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
+	g.Expect(continued.Load()).To(gomega.BeZero())
+}
+
 // TestBodySizeAndMemoryLimitsAreEnforced sends bodies of known and of unknown
 // length: within the plan's limit, beyond it, and beyond the memory for bodies.
 func TestBodySizeAndMemoryLimitsAreEnforced(t *testing.T) {
