Use no other kept connection after one gave no response

Callers saw: in the record, requests at several servers whose time ran out while the router read the response; whether on kept connections, the record does not say. A connection that went silent, with probes answered by a proxy, never fails. A request on it gets no response until its time is over, and then the next request took the next kept connection of the same age. Only requests that could be retried closed these before. Change: when the time of a request on a kept connection runs out without a response, the idle connections to that server are closed. Why it works: new connections work, and one request is the price to find out. Test: TestSilentKeptConnectionsLoseOneRequest failed before: after the first request, the second one was lost as well.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -235,6 +235,9 @@
 	var exchangeErr *link.ExchangeError
 	maybeSent := !errors.As(err, &exchangeErr) || exchangeErr.MaybeSent
 	canceled := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && exchangeErr != nil && exchangeErr.Reused {
+		target.pool.CloseIdle() // Other kept connections may be silent as well.
+	}
 	switch {
 	case canceled, errors.Is(err, errServerLeaving):
 		reservation.Done(time.Now(), placement.Canceled)
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"io"
+	"maps"
 	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -298,6 +300,49 @@
 	g.Expect(continued.Load()).To(gomega.BeZero())
 }
 
+// Guards against requests that are lost one after the other on kept connections
+// that went silent: once one of them got no response, none of the others is used.
+func TestSilentKeptConnectionsLoseOneRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const kept = 4
+	short := newClass("short", relay.NonIdempotent, 1)
+	short.Timeout = time.Second
+	var mu sync.Mutex
+	connections := make(map[string]bool)
+	silent := make(map[string]bool)
+	allOpen := make(chan struct{})
+	handler := func(w http.ResponseWriter, req *http.Request) {
+		mu.Lock()
+		lost := silent[req.RemoteAddr]
+		if !connections[req.RemoteAddr] {
+			connections[req.RemoteAddr] = true
+			if len(connections) == kept {
+				close(allOpen)
+			}
+		}
+		mu.Unlock()
+		if lost {
+			<-req.Context().Done()
+			return
+		}
+		<-allOpen
+		respond("ok")(w, req)
+	}
+	r, _ := startNode(t, newPlan(newClass("a", relay.NonIdempotent, 1), short), handler)
+	var opening sync.WaitGroup
+	for range kept {
+		opening.Go(func() { r.call(t, http.MethodGet, "/a/x", "") })
+	}
+	opening.Wait()
+	mu.Lock()
+	silent = maps.Clone(connections)
+	mu.Unlock()
+	g.Expect(r.call(t, http.MethodGet, "/short/x", "").body).NotTo(gomega.Equal("ok"))
+	for range kept {
+		g.Expect(r.call(t, http.MethodGet, "/short/x", "").body).To(gomega.Equal("ok"))
+	}
+}
+
 // TestBodySizeAndMemoryLimitsAreEnforced sends bodies of known and of unknown
 // length: within the plan's limit, beyond it, and beyond the memory for bodies.
 func TestBodySizeAndMemoryLimitsAreEnforced(t *testing.T) {
