Keep a leaving server out of the list until it starts again

Cause: the newest entry of a server was believed whatever had been said before. A heartbeat that takes effect late can overwrite draining with ready, or bring a removed entry back, and the router then took the server for one that accepts requests. A lifetime is told apart by the ID and the time of the start that entries state (born); a restart under the same ID is another server, with another pool of connections. A removed entry alone is no announcement, since entries lapse and come back. Why it works: leaving is final within a lifetime, so that an entry that says otherwise is older than the announcement. Test: TestOutdatedEntryDoesNotBringALeavingServerBack does not end without the correction, as the server is used again.

--- a/router/relay/plan.go
+++ b/router/relay/plan.go
@@ -128,9 +128,13 @@
 
 // Server is a backend server as it registered itself.
 type Server struct {
-	// ID identifies one lifetime of a backend server; after a restart it is
-	// another one.
-	ID      string
+	// ID identifies a backend server. A server that starts again may keep it.
+	ID string
+
+	// StartedAt is when the server's process started, by the server's clock, or
+	// the zero time if the entry does not say.
+	StartedAt time.Time
+
 	Service string
 	Address string
 	Zone    string
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -87,8 +87,9 @@
 	// bounds are the bounds in force. Operators may change them.
 	bounds atomic.Pointer[Bounds]
 
-	// installMu serializes changes of index and servers.
-	installMu sync.Mutex
+	// installMu serializes changes of index and servers. It guards departures.
+	installMu  sync.Mutex
+	departures *departures
 }
 
 // backendServer is a backend server with the pool of connections to it.
@@ -115,6 +116,7 @@
 		streams:     newStreamRegistry(),
 		retryBudget: retrybudget.NewBudget(options.bounds.RetryRatio, options.bounds.RetryWindow),
 		metrics:     newRequestMetrics(options.metrics),
+		departures:  newDepartures(),
 	}
 	r.servers.Store(&map[string]*backendServer{})
 	r.bounds.Store(&options.bounds)
@@ -146,11 +148,15 @@
 func (r *relay) installServers(servers map[string]Server) {
 	r.installMu.Lock()
 	defer r.installMu.Unlock()
+	servers, outdated := r.departures.correct(r.options.clock(), servers)
+	for _, id := range outdated {
+		r.options.log.StateChange().Str("server", id).Msg("outdated entry of leaving server")
+	}
 	old := *r.servers.Load()
 	next := make(map[string]*backendServer, len(servers))
 	for id, s := range servers {
 		b, ok := old[id]
-		if !ok || b.Address != s.Address {
+		if !ok || b.Address != s.Address || !b.StartedAt.Equal(s.StartedAt) {
 			b = &backendServer{pool: hop.NewPool(s.Address), usage: &serverUsage{}}
 		}
 		next[id] = &backendServer{Server: s, pool: b.pool, usage: b.usage}
@@ -207,8 +213,8 @@
 
 // handleServerUpdate logs that a server is new or began to drain, and in the
 // latter case starts to migrate its streams. The key leaving says whether a new
-// server is draining. A server that drains should not return to accepting
-// requests; a line says so if it does.
+// server is draining. A draining server accepts requests again only in another
+// lifetime with the same ID.
 func (r *relay) handleServerUpdate(old *backendServer, s Server) {
 	switch {
 	case old == nil:
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -186,6 +186,48 @@
 	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
 }
 
+// Guards against requests to a leaving server whose entry is overwritten by an
+// older one that arrives late, also after the entry had been removed. A restart
+// under the same ID counts as another server.
+func TestOutdatedEntryDoesNotBringALeavingServerBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, backends := startNode(t, newPlan(newClass("a", relay.Idempotent, 1)), respond("stays"), respond("leaves"))
+	const startedAt = 1000
+	row := func(i int, draining bool, startedAt int64) feed.Change[relay.Server] {
+		return feed.Change[relay.Server]{Key: backends[i].id, Value: relay.Server{
+			ID: backends[i].id, Service: "s", Address: backends[i].server.Listener.Addr().String(),
+			Draining: draining, StartedAt: time.UnixMilli(startedAt),
+		}}
+	}
+	stays := row(0, false, startedAt)
+	accepting := func(n int) func() bool {
+		return func() bool { return len(r.stateDump(t)["Servers"].([]any)) == n }
+	}
+	r.servers.set(stays, row(1, false, startedAt))
+	r.waitUntil(t, accepting(2))
+	r.servers.set(stays, row(1, true, startedAt))
+	r.waitUntil(t, accepting(1))
+
+	r.servers.set(stays, row(1, false, startedAt))
+	r.waitUntil(t, r.logged("outdated entry of leaving server", 1))
+	before := backends[1].arrived.Load()
+	for range 50 {
+		g.Expect(r.call(t, http.MethodGet, "/a/x", "").body).To(gomega.Equal("stays"))
+	}
+	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
+	r.servers.set(stays, feed.Change[relay.Server]{Key: backends[1].id, Removed: true})
+	r.waitUntil(t, r.logged("backend server removed", 1))
+	r.servers.set(stays, row(1, false, startedAt))
+	r.waitUntil(t, r.logged("outdated entry of leaving server", 2))
+	for range 50 {
+		g.Expect(r.call(t, http.MethodGet, "/a/x", "").body).To(gomega.Equal("stays"))
+	}
+	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
+
+	r.servers.set(stays, row(1, false, startedAt+1))
+	r.waitUntil(t, accepting(2))
+}
+
 // TestServerKindIsKnownWhenServersArriveBeforePlan checks that a router that
 // learns its servers before the plan still treats them as model engines, as the
 // state dump shows.
--- a/router/relay/testnode_test.go
+++ b/router/relay/testnode_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -152,6 +154,31 @@
 	plans            *fakeTable[relay.Plan]
 	servers          *fakeTable[relay.Server]
 	clockOffset      atomic.Int64
+	log              logBuffer
+}
+
+// logBuffer collects a node's log.
+type logBuffer struct {
+	// mu guards text.
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+// logged returns a condition that holds once the node has logged a message n
+// times.
+func (r *testNode) logged(message string, n int) func() bool {
+	return func() bool {
+		r.log.mu.Lock()
+		defer r.log.mu.Unlock()
+		return strings.Count(r.log.text.String(), fmt.Sprintf("%q", message)) >= n
+	}
 }
 
 // loopbackHost returns a random loopback address that no other test is likely
@@ -224,7 +251,7 @@
 	r.servers.set(rows...)
 	node := relay.NewNode(relay.Config{
 		VM: "vm", Zone: "zone", CallerAddress: r.callerAddress, ReadinessAddress: r.readinessAddress, ReadinessPath: "/ready", OperatorAddress: r.operatorAddress,
-		PeerAddress: netip.MustParseAddrPort(free[3]), DirectoryAddress: netip.MustParseAddrPort(free[4]), Codec: codec{}, Migrator: m, Plans: r.plans, Servers: r.servers, Clock: clock, Log: io.Discard,
+		PeerAddress: netip.MustParseAddrPort(free[3]), DirectoryAddress: netip.MustParseAddrPort(free[4]), Codec: codec{}, Migrator: m, Plans: r.plans, Servers: r.servers, Clock: clock, Log: &r.log,
 		MemoryBytes: memoryBytes,
 		Bounds: relay.Bounds{
 			MaxRevocationDelay: maxRevocationDelay, DrainTimeout: 50 * time.Millisecond, GracePeriod: time.Second, RetryRatio: 10, RetryWindow: 10 * time.Second,
