--- a/coordination/feed/follower_test.go
+++ b/coordination/feed/follower_test.go
@@ -306,11 +306,17 @@
 // compactions, and checks that the copy holds whatever the table held at the
 // time that AsOf returns, or something newer.
 func TestCopyIsAtLeastAsNewAsAsOf(t *testing.T) {
+	checkSteps(t, 5, 3000, runSteps)
+}
+
+// checkSteps draws sequences of steps up to a number, with pauses in milliseconds
+// between them, and runs each in virtual time until one returns a failure.
+func checkSteps(t *testing.T, maxStep, maxPause int, run func(t *testing.T, steps, pauses []int) string) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 30).Draw(rt, "steps")
-		pauses := rapid.SliceOfN(rapid.IntRange(0, 3000), len(steps), len(steps)).Draw(rt, "pauses in ms")
+		steps := rapid.SliceOfN(rapid.IntRange(0, maxStep), 1, 30).Draw(rt, "steps")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, maxPause), len(steps), len(steps)).Draw(rt, "pauses in ms")
 		var failure string
-		synctest.Test(t, func(t *testing.T) { failure = runSteps(t, steps, pauses) })
+		synctest.Test(t, func(t *testing.T) { failure = run(t, steps, pauses) })
 		if failure != "" {
 			rt.Fatalf("%s", failure)
 		}
@@ -338,15 +344,25 @@
 			table.put("n", fmt.Sprint(number))
 		}
 		time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
-		have := 0
-		if _, err := fmt.Sscan(rows()["n"], &have); err != nil {
-			have = 0
+		if failure := compareWithWritten(follower, rows(), written); failure != "" {
+			return failure
 		}
-		asOf, known := follower.AsOf()
-		for n, at := range written {
-			if known && at < asOf && n > have {
-				return fmt.Sprintf("copy has %d and is as of %v, but %d was written at %v", have, asOf, n, at)
-			}
+	}
+	return ""
+}
+
+// compareWithWritten returns a description of a number that was written to the
+// row n before the time as of which the follower's copy counts as current but is
+// missing there, or an empty string.
+func compareWithWritten(follower *feed.Follower[string], rows map[string]string, written map[int]time.Duration) string {
+	have := 0
+	if _, err := fmt.Sscan(rows["n"], &have); err != nil {
+		have = 0
+	}
+	asOf, known := follower.AsOf()
+	for n, at := range written {
+		if known && at < asOf && n > have {
+			return fmt.Sprintf("copy has %d and is as of %v, but %d was written at %v", have, asOf, n, at)
 		}
 	}
 	return ""
--- /dev/null
+++ b/coordination/feed/outcome.go
@@ -0,0 +1,144 @@
+package feed
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// handle processes the end of a call, unless the call was dropped.
+func (f *Follower[T]) handle(r result[T]) {
+	if !f.forget(r.call) {
+		r.err = ErrDropped
+	}
+	if f.config.OnCall != nil {
+		f.config.OnCall(r.call.kind, r.err)
+	}
+	switch {
+	case errors.Is(r.err, ErrDropped):
+	case r.err == nil:
+		f.succeeded(r)
+	case errors.Is(r.err, ErrCompacted):
+		f.reread()
+	default:
+		f.failed(r.call, fmt.Errorf("call table: %w", r.err))
+	}
+}
+
+// forget removes a call from those in progress and reports whether it was one of
+// them.
+func (f *Follower[T]) forget(c *call) bool {
+	if c == f.watch {
+		f.watch = nil
+		return true
+	}
+	before := len(f.short)
+	f.short = slices.DeleteFunc(f.short, func(other *call) bool { return other == c })
+	return len(f.short) < before
+}
+
+// reread drops all calls and reads the whole table, at once unless it was read
+// for the same reason just before.
+func (f *Follower[T]) reread() {
+	now := f.config.Clock()
+	f.dropWatch()
+	f.dropShort()
+	f.nextShort = now
+	if f.compacted {
+		f.nextShort = now + minShortPause
+	}
+	f.copy.loaded, f.compacted = false, true
+	f.config.OnEvent(Event{Compacted: true, Age: f.age(now)})
+}
+
+// failed records a failed call. Until a short call succeeds, the table counts as
+// unreachable and is not watched.
+func (f *Follower[T]) failed(c *call, err error) {
+	now := f.config.Clock()
+	if f.failing {
+		return
+	}
+	f.dropWatch()
+	f.failing, f.failingSince = true, now
+	if !f.asking {
+		f.nextShort = now + minShortPause
+	}
+	f.setOutageStart(now)
+	f.config.OnEvent(Event{Lost: true, Err: err, Open: now - c.sent, Age: f.age(now)})
+}
+
+// succeeded applies a response.
+func (f *Follower[T]) succeeded(r result[T]) {
+	now := f.config.Clock()
+	f.dropShort()
+	f.nextShort = now + minShortPause
+	if f.failing {
+		f.endOutage(now)
+	}
+	if f.apply(r, now) {
+		f.spreadWatch = true
+		f.replaceSilentWatch(now)
+	}
+	if r.call.kind != CheckCall {
+		f.nextWatch = now + f.config.WatchPause
+	}
+	if r.call.kind == WatchCall {
+		f.compacted = false
+	}
+	if f.config.OnResponse != nil {
+		f.config.OnResponse(r.call.kind, r.response.Revision, r.response.Clock)
+	}
+}
+
+// apply applies a response to the copy and records what it proves. It reports
+// whether the response had changes that the copy lacked.
+func (f *Follower[T]) apply(r result[T], now time.Duration) bool {
+	full := r.call.kind == ReadCall
+	var newest int64
+	changed := true
+	if full {
+		newest = f.copy.load(now, r.response, f.reportUnusable)
+	} else {
+		newest, changed = f.copy.update(now, r.response, f.reportUnusable)
+	}
+	if changed {
+		f.config.Apply(f.copy.snapshot())
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evidence.recordResponse(r.call.sent, now, r.response.Clock, r.response.Revision, newest, full)
+	if r.call.kind != WatchCall {
+		f.evidence.refuteMissed(r.call.sent)
+	}
+	return full || newest > 0
+}
+
+// replaceSilentWatch drops a watch that is still in progress after another call
+// brought changes that it should have delivered.
+func (f *Follower[T]) replaceSilentWatch(now time.Duration) {
+	if f.watch == nil {
+		return
+	}
+	f.config.OnEvent(Event{Silent: true, Open: now - f.watch.sent, Age: f.age(now)})
+	f.dropWatch()
+	f.nextWatch = now + f.config.WatchPause
+}
+
+// endOutage records that the table is reachable again. If the outage was long
+// enough for rows to lapse, rows that disappear soon are kept for a while.
+func (f *Follower[T]) endOutage(now time.Duration) {
+	age := f.age(now)
+	f.failing, f.spreadWatch = false, true
+	f.setOutageStart(0)
+	if age >= f.config.LapseTime {
+		f.copy.beginGrace(now, f.config.LapseGrace)
+	}
+	f.config.OnEvent(Event{Regained: true, Outage: now - f.failingSince, Age: age})
+}
+
+// reportUnusable reports a row that can't be used.
+func (f *Follower[T]) reportUnusable(c Change[T]) {
+	f.config.OnEvent(Event{Key: c.Key, Err: c.Err})
+}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -3,13 +3,10 @@
 import (
 	"bytes"
 	"io"
-	"maps"
 	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,48 +183,6 @@
 	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
 }
 
-// Guards against requests to a leaving server whose entry is overwritten by an
-// older one that arrives late, also after the entry had been removed. A restart
-// under the same ID counts as another server.
-func TestOutdatedEntryDoesNotBringALeavingServerBack(t *testing.T) {
-	g := gomega.NewWithT(t)
-	r, backends := startNode(t, newPlan(newClass("a", relay.Idempotent, 1)), respond("stays"), respond("leaves"))
-	const startedAt = 1000
-	row := func(i int, draining bool, startedAt int64) feed.Change[relay.Server] {
-		return feed.Change[relay.Server]{Key: backends[i].id, Value: relay.Server{
-			ID: backends[i].id, Service: "s", Address: backends[i].server.Listener.Addr().String(),
-			Draining: draining, StartedAt: time.UnixMilli(startedAt),
-		}}
-	}
-	stays := row(0, false, startedAt)
-	accepting := func(n int) func() bool {
-		return func() bool { return len(r.stateDump(t)["Servers"].([]any)) == n }
-	}
-	r.servers.set(stays, row(1, false, startedAt))
-	r.waitUntil(t, accepting(2))
-	r.servers.set(stays, row(1, true, startedAt))
-	r.waitUntil(t, accepting(1))
-
-	r.servers.set(stays, row(1, false, startedAt))
-	r.waitUntil(t, r.logged("outdated entry of leaving server", 1))
-	before := backends[1].arrived.Load()
-	for range 50 {
-		g.Expect(r.call(t, http.MethodGet, "/a/x", "").body).To(gomega.Equal("stays"))
-	}
-	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
-	r.servers.set(stays, feed.Change[relay.Server]{Key: backends[1].id, Removed: true})
-	r.waitUntil(t, r.logged("backend server removed", 1))
-	r.servers.set(stays, row(1, false, startedAt))
-	r.waitUntil(t, r.logged("outdated entry of leaving server", 2))
-	for range 50 {
-		g.Expect(r.call(t, http.MethodGet, "/a/x", "").body).To(gomega.Equal("stays"))
-	}
-	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
-
-	r.servers.set(stays, row(1, false, startedAt+1))
-	r.waitUntil(t, accepting(2))
-}
-
 // TestServerKindIsKnownWhenServersArriveBeforePlan checks that a router that
 // learns its servers before the plan still treats them as model engines, as the
 // state dump shows.
@@ -245,146 +200,6 @@
 	g.Expect(servers[0]).To(gomega.HaveKeyWithValue("Engine", true))
 }
 
-// TestStreamMigratesOffDrainingServer drains the server of a stream that may
-// not run twice. The run continues on another server from the copy of its KV
-// cache.
-func TestStreamMigratesOffDrainingServer(t *testing.T) {
-	g := gomega.NewWithT(t)
-	plan := newPlan(newClass("a", relay.Stream, 1))
-	plan.Services[0] = relay.Service{Name: "s", Slots: 4, TokensPerEvent: 1, SupportsMigration: true}
-	stopped := make(chan struct{})
-	began := make(chan string, 1)
-	copies := make(chan string, 1)
-	engine := func(w http.ResponseWriter, req *http.Request) {
-		if c := req.Header.Get(kvCopyHeader); c != "" {
-			copies <- c
-			streamEvents(1, 4, true)(w, req)
-			return
-		}
-		w.Header().Set(signedHeader, "yes")
-		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
-		_ = http.NewResponseController(w).Flush()
-		began <- req.Header.Get(instanceHeader)
-		<-stopped
-		panic(http.ErrAbortHandler)
-	}
-	var source string
-	migrator := migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
-		source = request.Source
-		close(stopped)
-		return relay.KVCopy{Source: request.Source, Handle: "h1"}, nil
-	})
-	r, backends := startNodeWithMigrator(t, migrator, plan, engine, engine)
-	got := make(chan reply, 1)
-	go func() { got <- r.call(t, http.MethodPost, "/a/x", "") }()
-	draining := <-began
-	var rows []feed.Change[relay.Server]
-	for _, b := range backends {
-		rows = append(rows, feed.Change[relay.Server]{Key: b.id, Value: relay.Server{
-			ID: b.id, Service: "s", Address: b.server.Listener.Addr().String(), Slots: 4, Draining: b.id == draining,
-		}})
-	}
-	r.servers.set(rows...)
-	end := <-got
-	g.Expect(end.err).NotTo(gomega.HaveOccurred())
-	g.Expect(end.body).To(gomega.Equal(
-		"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"))
-	g.Expect(<-copies).To(gomega.Equal(source + "/h1"))
-}
-
-// Guards against requests that reach a leaving server because it was chosen
-// before: the destination of a migration begins to drain while the KV cache is
-// copied there.
-func TestMigratedStreamDoesNotContinueOnALeavingServer(t *testing.T) {
-	g := gomega.NewWithT(t)
-	plan := newPlan(newClass("a", relay.Stream, 1))
-	plan.Services[0] = relay.Service{Name: "s", Slots: 4, TokensPerEvent: 1, SupportsMigration: true}
-	stopped := make(chan struct{})
-	began := make(chan string, 1)
-	var continued atomic.Int32
-	engine := func(w http.ResponseWriter, req *http.Request) {
-		if req.Header.Get(kvCopyHeader) != "" {
-			continued.Add(1)
-			streamEvents(1, 4, true)(w, req)
-			return
-		}
-		w.Header().Set(signedHeader, "yes")
-		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
-		_ = http.NewResponseController(w).Flush()
-		began <- req.Header.Get(instanceHeader)
-		<-stopped
-		panic(http.ErrAbortHandler)
-	}
-	var r *testNode
-	var backends []*backend
-	drain := func(leaves func(id string) bool) {
-		var rows []feed.Change[relay.Server]
-		for _, b := range backends {
-			rows = append(rows, feed.Change[relay.Server]{Key: b.id, Value: relay.Server{
-				ID: b.id, Service: "s", Address: b.server.Listener.Addr().String(), Slots: 4, Draining: leaves(b.id),
-			}})
-		}
-		r.servers.set(rows...)
-	}
-	migrator := migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
-		drain(func(string) bool { return true })
-		r.waitUntil(t, func() bool { return len(r.stateDump(t)["Servers"].([]any)) == 0 })
-		close(stopped)
-		return relay.KVCopy{Source: request.Source, Handle: "h1"}, nil
-	})
-	r, backends = startNodeWithMigrator(t, migrator, plan, engine, engine)
-	got := make(chan reply, 1)
-	go func() { got <- r.call(t, http.MethodPost, "/a/x", "") }()
-	source := <-began
-	drain(func(id string) bool { return id == source })
-	end := <-got
-	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
-	g.Expect(continued.Load()).To(gomega.BeZero())
-}
-
-// Guards against requests that are lost one after the other on kept connections
-// that went silent: once one of them got no response, none of the others is used.
-func TestSilentKeptConnectionsLoseOneRequest(t *testing.T) {
-	g := gomega.NewWithT(t)
-	const kept = 4
-	short := newClass("short", relay.NonIdempotent, 1)
-	short.Timeout = time.Second
-	var mu sync.Mutex
-	connections := make(map[string]bool)
-	silent := make(map[string]bool)
-	allOpen := make(chan struct{})
-	handler := func(w http.ResponseWriter, req *http.Request) {
-		mu.Lock()
-		lost := silent[req.RemoteAddr]
-		if !connections[req.RemoteAddr] {
-			connections[req.RemoteAddr] = true
-			if len(connections) == kept {
-				close(allOpen)
-			}
-		}
-		mu.Unlock()
-		if lost {
-			<-req.Context().Done()
-			return
-		}
-		<-allOpen
-		respond("ok")(w, req)
-	}
-	r, _ := startNode(t, newPlan(newClass("a", relay.NonIdempotent, 1), short), handler)
-	var opening sync.WaitGroup
-	for range kept {
-		opening.Go(func() { r.call(t, http.MethodGet, "/a/x", "") })
-	}
-	opening.Wait()
-	mu.Lock()
-	silent = maps.Clone(connections)
-	mu.Unlock()
-	g.Expect(r.call(t, http.MethodGet, "/short/x", "").body).NotTo(gomega.Equal("ok"))
-	for range kept {
-		g.Expect(r.call(t, http.MethodGet, "/short/x", "").body).To(gomega.Equal("ok"))
-	}
-}
-
 // TestBodySizeAndMemoryLimitsAreEnforced sends bodies of known and of unknown
 // length: within the plan's limit, beyond it, and beyond the memory for bodies.
 func TestBodySizeAndMemoryLimitsAreEnforced(t *testing.T) {
--- a/router/relay/testnode_test.go
+++ b/router/relay/testnode_test.go
@@ -18,25 +18,10 @@
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
-
 	"snipetally.example/coordination/feed"
 	"snipetally.example/router/relay"
 )
 
-// Headers of the test codec.
-const (
-	attemptHeader     = "Attempt"
-	timeoutHeader     = "Timeout"
-	keyHeader         = "Key"
-	instanceHeader    = "Instance"
-	teamHeader        = "Team"
-	signedHeader      = "Signed"
-	notExecutedHeader = "Not-Executed"
-	lastEventHeader   = "Last-Event-Id"
-	kvCopyHeader      = "Kv-Copy"
-)
-
 // memoryBytes is the memory of the VM; request bodies may take a quarter of it.
 const memoryBytes = 64 << 20
 
@@ -44,100 +29,6 @@
 // machine.
 const maxRevocationDelay = 10 * time.Minute
 
-// codec maps the headers above.
-type codec struct{}
-
-func (codec) ParseRequest(h http.Header) (relay.RequestInfo, error) {
-	ms, err := strconv.Atoi(h.Get(timeoutHeader))
-	if err != nil {
-		return relay.RequestInfo{}, fmt.Errorf("parse timeout: %w", err)
-	}
-	return relay.RequestInfo{
-		AttemptID: h.Get(attemptHeader), APIKey: h.Get(keyHeader), Timeout: time.Duration(ms) * time.Millisecond,
-	}, nil
-}
-
-func (codec) ForwardHeader(h http.Header, info relay.ForwardInfo) http.Header {
-	h = h.Clone()
-	h.Del(keyHeader)
-	h.Set(instanceHeader, info.InstanceID)
-	h.Set(teamHeader, info.Team)
-	h.Set(timeoutHeader, strconv.Itoa(int(info.Timeout.Milliseconds())))
-	if info.LastEventID != "" {
-		h.Set(lastEventHeader, info.LastEventID)
-	}
-	if info.KVCopy.Handle != "" {
-		h.Set(kvCopyHeader, info.KVCopy.Source+"/"+info.KVCopy.Handle)
-	}
-	return h
-}
-
-func (codec) ParseResponse(status int, h http.Header) relay.ResponseInfo {
-	return relay.ResponseInfo{
-		AttemptID: h.Get(attemptHeader), Signed: h.Get(signedHeader) != "",
-		NotExecuted: h.Get(notExecutedHeader) != "" || status == http.StatusMisdirectedRequest,
-	}
-}
-
-// migratorFunc implements relay.Migrator with a function.
-type migratorFunc func(relay.MigrationRequest) (relay.KVCopy, error)
-
-func (m migratorFunc) Migrate(_ context.Context, request relay.MigrationRequest) (relay.KVCopy, error) {
-	return m(request)
-}
-
-// fakeTable is a table whose rows change only when set, and which can be made
-// unavailable.
-type fakeTable[T any] struct {
-	mu          sync.Mutex
-	rows        []feed.Change[T]
-	revision    int64
-	unavailable bool
-	clock       feed.Clock
-}
-
-const errUnavailable = errors.ConstError("table unavailable")
-
-func (f *fakeTable[T]) set(rows ...feed.Change[T]) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision++
-	f.rows = rows
-	for i := range f.rows {
-		f.rows[i].Revision = f.revision
-	}
-}
-
-func (f *fakeTable[T]) setUnavailable(unavailable bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.unavailable = unavailable
-}
-
-func (f *fakeTable[T]) Read(context.Context) (feed.Response[T], error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.unavailable {
-		return feed.Response[T]{}, errUnavailable
-	}
-	return feed.Response[T]{Changes: f.rows, Revision: f.revision, Clock: f.clock()}, nil
-}
-
-func (f *fakeTable[T]) Watch(ctx context.Context, after int64, _ time.Duration) (feed.Response[T], error) {
-	pause := time.NewTimer(5 * time.Millisecond)
-	defer pause.Stop()
-	select {
-	case <-ctx.Done():
-		return feed.Response[T]{}, ctx.Err()
-	case <-pause.C:
-	}
-	response, err := f.Read(ctx)
-	if err == nil && response.Revision == after {
-		response.Changes = nil
-	}
-	return response, err
-}
-
 // backend is a test backend server.
 type backend struct {
 	id      string
