--- a/coordination/feed/follower_test.go
+++ b/coordination/feed/follower_test.go
@@ -41,6 +41,9 @@
 	changed  chan struct{}
 	requests int
 
+	// lag delays each response after it was made.
+	lag time.Duration
+
 	// silences counts the beginnings and ends of silences. A call during which
 	// it is odd or changes gets no response.
 	silences int
@@ -70,12 +73,25 @@
 func (f *fakeTable) answer(ctx context.Context, silences int, r feed.Response[string]) (feed.Response[string], error) {
 	f.mu.Lock()
 	silent := silences%2 == 1 || silences != f.silences
+	lag := f.lag
 	f.mu.Unlock()
 	if silent {
 		<-ctx.Done()
 		return feed.Response[string]{}, ctx.Err()
 	}
-	return r, nil
+	select {
+	case <-ctx.Done():
+		return feed.Response[string]{}, ctx.Err()
+	case <-time.After(lag):
+		return r, nil
+	}
+}
+
+// setLag sets the delay of responses.
+func (f *fakeTable) setLag(lag time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lag = lag
 }
 
 func (f *fakeTable) clock() time.Duration { return time.Since(f.start) }
--- a/coordination/feed/proof_test.go
+++ b/coordination/feed/proof_test.go
@@ -6,12 +6,11 @@
 	"time"
 )
 
-// TestProvedCopiesHoldEveryEarlierChange runs random sequences of writes,
-// removals, outages, silences and compactions against followers that exchange
-// proofs. Each copy must hold all that was written before the time as of which it
+// TestProvedCopiesHoldEveryEarlierChange runs random sequences of writes, outages,
+// silences, late responses and compactions against followers that exchange proofs. Each copy must hold all that was written before the time as of which it
 // counts as proved.
 func TestProvedCopiesHoldEveryEarlierChange(t *testing.T) {
-	checkSteps(t, 8, 2000, runFaults)
+	checkSteps(t, 10, 2000, runFaults)
 }
 
 // runFaults writes increasing numbers to a row and returns a description of the
@@ -39,6 +38,10 @@
 			end = func() {}
 		case 5:
 			table.put("other", fmt.Sprint(i))
+		case 6:
+			table.setLag(500 * time.Millisecond)
+		case 7:
+			table.setLag(0)
 		default:
 			number++
 			written[number] = table.clock()
