Take a silent watch for what it is while other calls are answered

Callers saw: nothing; on call saw table lost, which OPERATIONS.md explains by a store that is away. Cause: a watch that got no response counted as an outage of the table, although checks had been answered all the while. Change: if the copy is proved, such a watch is reported as silent and replaced. Test: TestSilentWatchIsNoOutage failed before; the feed's tests pass 60 times.

--- a/coordination/feed/config.go
+++ b/coordination/feed/config.go
@@ -96,8 +96,8 @@
 	// response, so that all of it is read again.
 	Compacted bool
 
-	// Silent says that a check brought changes that the watch in progress had
-	// not delivered.
+	// Silent says that a watch delivered nothing, neither its end nor changes
+	// that a check brought, while other calls were answered.
 	Silent bool
 
 	// Open is how long the call was in progress that failed or was silent.
--- a/coordination/feed/outcome.go
+++ b/coordination/feed/outcome.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -22,6 +23,8 @@
 		f.succeeded(r)
 	case errors.Is(r.err, ErrCompacted):
 		f.reread()
+	case f.wasSilent(r):
+		f.reportSilence(r.call)
 	default:
 		f.failed(r.call, fmt.Errorf("call table: %w", r.err))
 	}
@@ -79,7 +82,7 @@
 	}
 	if f.apply(r, now) {
 		f.spreadWatch = true
-		f.replaceSilentWatch(now)
+		f.replaceSilentWatch()
 	}
 	if r.call.kind != CheckCall {
 		f.nextWatch = now + f.config.WatchPause
@@ -115,14 +118,28 @@
 	return full || newest > 0
 }
 
+// wasSilent reports whether a watch got no response while the copy was proved by
+// other means. The table is not away then, only the watch's connection is silent.
+func (f *Follower[T]) wasSilent(r result[T]) bool {
+	return r.call.kind == WatchCall && errors.Is(r.err, context.DeadlineExceeded) &&
+		f.age(f.config.Clock()) <= f.config.MaxUnproved
+}
+
 // replaceSilentWatch drops a watch that is still in progress after another call
 // brought changes that it should have delivered.
-func (f *Follower[T]) replaceSilentWatch(now time.Duration) {
+func (f *Follower[T]) replaceSilentWatch() {
 	if f.watch == nil {
 		return
 	}
-	f.config.OnEvent(Event{Silent: true, Open: now - f.watch.sent, Age: f.age(now)})
+	f.reportSilence(f.watch)
 	f.dropWatch()
+}
+
+// reportSilence reports a silent watch. The next one is sent after the usual
+// pause.
+func (f *Follower[T]) reportSilence(watch *call) {
+	now := f.config.Clock()
+	f.config.OnEvent(Event{Silent: true, Open: now - watch.sent, Age: f.age(now)})
 	f.nextWatch = now + f.config.WatchPause
 }
 
--- a/coordination/feed/silence_test.go
+++ b/coordination/feed/silence_test.go
@@ -182,6 +182,30 @@
 	})
 }
 
+// Guards against outages that are reported because a watch was silent, although
+// other calls were answered all the while.
+func TestSilentWatchIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		table := newFakeTable()
+		table.put("a", "1")
+		all := startGroup(t, table, 1, 0)
+		time.Sleep(3 * time.Second)
+		for range 2 { // A watch is open at one of the two moments at least.
+			table.silence()()
+			time.Sleep(watchPause + 100*time.Millisecond)
+		}
+		time.Sleep(2 * watchWait)
+		table.put("a", "2")
+		time.Sleep(watchPause)
+		g.Expect(all.copyOf(0)).To(gomega.HaveKeyWithValue("a", "2"), "the watch was replaced")
+		for _, e := range all.events {
+			g.Expect(e.Lost).To(gomega.BeFalse())
+		}
+		g.Expect(all.events).To(gomega.ContainElement(gomega.HaveField("Silent", true)))
+	})
+}
+
 // Guards against checks that multiply with the number of followers: those that
 // exchange proofs make few, and none when the watches of many prove enough.
 func TestFollowersThatExchangeProofsShareTheChecks(t *testing.T) {
