Start no timers of no duration in the feed's fakes

Cause: go test -race ./feed crashed with a segmentation violation in the runtime (timer.maybeRunChan, called by select on an expired timer in a synctest bubble). Change: the fake table answers calls without wait or lag at once.

--- a/coordination/feed/follower_test.go
+++ b/coordination/feed/follower_test.go
@@ -79,6 +79,9 @@
 		<-ctx.Done()
 		return feed.Response[string]{}, ctx.Err()
 	}
+	if lag == 0 {
+		return r, nil
+	}
 	select {
 	case <-ctx.Done():
 		return feed.Response[string]{}, ctx.Err()
@@ -182,7 +185,7 @@
 			return feed.Response[string]{}, errDown
 		case int(after) < oldest:
 			return feed.Response[string]{}, feed.ErrCompacted
-		case len(changes) > 0:
+		case len(changes) > 0 || wait == 0:
 			return f.answer(ctx, silences, response)
 		}
 		select {
