Serve the fake engine and the fake service with one server

Cause: both had the same code to serve on tracked listeners and to make their connections fail. Change: network.Server holds the listeners; engine and service use it. The listeners have a mutex of their own, a leaf below the engine's.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -74,6 +74,7 @@
 type Engine struct {
 	config  Config
 	handler http.Handler
+	server  *network.Server
 	workers sync.WaitGroup
 
 	// mu guards all fields below and the fields of the jobs.
@@ -83,7 +84,6 @@
 	epoch           uint64
 	sequence        uint64
 	latencyFactor   float64
-	listeners       []*network.Listener
 	jobs            map[string]*job
 	refusedAttempts map[string]bool
 	waiting         []*job
@@ -100,6 +100,7 @@
 func New(config Config) *Engine {
 	e := &Engine{config: withDefaults(config), latencyFactor: 1, records: make(map[string]*Record)}
 	e.handler = e.routes()
+	e.server = network.NewServer(e)
 	e.reset()
 	return e
 }
@@ -112,18 +113,8 @@
 // Serve serves on l until ctx ends. Crash, Restart and BlackholeConnections affect
 // only connections that were accepted by Serve.
 func (e *Engine) Serve(ctx context.Context, l net.Listener) error {
-	tracked := network.Wrap(l)
-	e.mu.Lock()
-	e.listeners = append(e.listeners, tracked)
-	e.mu.Unlock()
-	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
-	stop := context.AfterFunc(ctx, func() {
-		_ = server.Close()
-		tracked.CloseConnections()
-	})
-	defer stop()
-	if err := server.Serve(tracked); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve engine: %w", err)
+	if err := e.server.Serve(ctx, l); err != nil {
+		return fmt.Errorf("engine: %w", err)
 	}
 	return nil
 }
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -77,13 +77,7 @@
 
 // BlackholeConnections permanently stops all traffic on the open connections
 // without closing them. New connections work.
-func (e *Engine) BlackholeConnections() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, l := range e.listeners {
-		l.Blackhole()
-	}
-}
+func (e *Engine) BlackholeConnections() { e.server.Blackhole() }
 
 // Crash aborts all requests without a response and closes all connections. The
 // engine loses its state, except the records, the queued faults and the latency
@@ -91,9 +85,7 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, l := range e.listeners {
-		l.Disable()
-	}
+	e.server.Disable()
 	for _, j := range e.jobs {
 		j.crashed = true
 	}
@@ -102,13 +94,7 @@
 }
 
 // Restart makes a crashed engine accept connections again.
-func (e *Engine) Restart() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, l := range e.listeners {
-		l.Enable()
-	}
-}
+func (e *Engine) Restart() { e.server.Enable() }
 
 // Record returns the record of an attempt and whether there is one.
 func (e *Engine) Record(attempt string) (Record, bool) {
--- a/standin/network/listener.go
+++ b/standin/network/listener.go
@@ -1,7 +1,8 @@
 // Package network provides listeners for tests. One wraps another listener so
 // that tests can close its open connections or drop their traffic while new ones
 // work. The other uses net.Pipe, so that servers and clients can run in virtual
-// time. It imports the standard library only.
+// time. A Server serves HTTP on listeners of the first kind. The package imports
+// the standard library only.
 package network
 
 import (
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -76,14 +76,14 @@
 type Service struct {
 	config  Config
 	handler http.Handler
+	server  *network.Server
 
 	// mu guards all fields below.
-	mu        sync.Mutex
-	listeners []*network.Listener
-	runs      []Run
-	states    map[string]string
-	faults    []fault
-	epoch     int
+	mu     sync.Mutex
+	runs   []Run
+	states map[string]string
+	faults []fault
+	epoch  int
 }
 
 // New returns a service that is ready to accept requests.
@@ -94,6 +94,7 @@
 	r.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
 	r.PathPrefix("/").HandlerFunc(s.handleCall)
 	s.handler = r
+	s.server = network.NewServer(s)
 	return s
 }
 
@@ -105,18 +106,8 @@
 // Serve serves on l until ctx ends. BlackholeConnections, Crash and Restart affect
 // only connections that were accepted by Serve.
 func (s *Service) Serve(ctx context.Context, l net.Listener) error {
-	tracked := network.Wrap(l)
-	s.mu.Lock()
-	s.listeners = append(s.listeners, tracked)
-	s.mu.Unlock()
-	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-	stop := context.AfterFunc(ctx, func() {
-		_ = server.Close()
-		tracked.CloseConnections()
-	})
-	defer stop()
-	if err := server.Serve(tracked); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve plain service: %w", err)
+	if err := s.server.Serve(ctx, l); err != nil {
+		return fmt.Errorf("plain service: %w", err)
 	}
 	return nil
 }
@@ -129,14 +120,14 @@
 
 // BlackholeConnections permanently stops all traffic on the open connections
 // without closing them. New connections work.
-func (s *Service) BlackholeConnections() { s.forEachListener((*network.Listener).Blackhole) }
+func (s *Service) BlackholeConnections() { s.server.Blackhole() }
 
 // Crash closes all connections and accepts none until Restart. The service keeps
 // its runs and attempt states, like a service with persistent storage.
-func (s *Service) Crash() { s.forEachListener((*network.Listener).Disable) }
+func (s *Service) Crash() { s.server.Disable() }
 
 // Restart makes a crashed service accept connections again.
-func (s *Service) Restart() { s.forEachListener((*network.Listener).Enable) }
+func (s *Service) Restart() { s.server.Enable() }
 
 // ForgetAttempts discards the states of all attempts and starts a new epoch. Runs
 // still returns the runs so far.
@@ -318,15 +309,6 @@
 	return &f
 }
 
-// forEachListener calls do for each listener.
-func (s *Service) forEachListener(do func(*network.Listener)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, l := range s.listeners {
-		do(l)
-	}
-}
-
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
