--- a/router/relay/departures.go
+++ b/router/relay/departures.go
@@ -12,7 +12,7 @@
 // entry has been removed. It says that the server accepts requests, but a server
 // that leaves never accepts any again in the same lifetime.
 //
-// The maps are guarded by relay.installMu.
+// It is guarded by relay.installMu.
 type departures struct {
 	// lastSeen is when each leaving server was last in the list.
 	lastSeen map[serverLifetime]time.Duration
@@ -29,26 +29,25 @@
 	return &departures{lastSeen: make(map[serverLifetime]time.Duration)}
 }
 
-// correct returns the list with all servers marked as draining that announced
-// before that they leave, and the IDs of those whose entries say otherwise.
-func (d *departures) correct(now time.Duration, servers map[string]Server) (corrected map[string]Server, outdated []string) {
-	corrected = make(map[string]Server, len(servers))
+// correct marks all servers of a list as draining that announced before that they
+// leave, and returns the IDs of those whose entries say otherwise.
+func (d *departures) correct(now time.Duration, servers map[string]Server) (outdated []string) {
 	for id, s := range servers {
 		lifetime := serverLifetime{id: id, startedAt: s.StartedAt}
 		_, leaving := d.lastSeen[lifetime]
 		if leaving && !s.Draining {
 			s.Draining = true
+			servers[id] = s
 			outdated = append(outdated, id)
 		}
 		if s.Draining {
 			d.lastSeen[lifetime] = now
 		}
-		corrected[id] = s
 	}
 	for lifetime, at := range d.lastSeen {
 		if now-at > departureMemory {
 			delete(d.lastSeen, lifetime)
 		}
 	}
-	return corrected, outdated
+	return outdated
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -143,13 +143,12 @@
 		Int("teams", len(plan.Teams)).Msg("plan in force")
 }
 
-// installServers replaces the set of backend servers. Requests in progress at
-// servers that are gone continue.
+// installServers replaces the set of backend servers, and takes over the map.
+// Requests in progress at servers that are gone continue.
 func (r *relay) installServers(servers map[string]Server) {
 	r.installMu.Lock()
 	defer r.installMu.Unlock()
-	servers, outdated := r.departures.correct(r.options.clock(), servers)
-	for _, id := range outdated {
+	for _, id := range r.departures.correct(r.options.clock(), servers) {
 		r.options.log.StateChange().Str("server", id).Msg("outdated entry of leaving server")
 	}
 	old := *r.servers.Load()
