Repeat no read of a table before it times out

Cause: short calls were repeated every 0.25 s without waiting for their end. A check is small, but a read of 12,000 rows takes 24 pages, so that a slow table would have been read three times over by each router. Test: TestSlowReadIsNotRepeated failed before with three reads.

--- a/coordination/feed/calls.go
+++ b/coordination/feed/calls.go
@@ -14,14 +14,14 @@
 	// watchMargin is added to the wait of a watch to allow for the round trip.
 	watchMargin = 600 * time.Millisecond
 
-	// Short calls that are not answered are repeated, without waiting for their
-	// end, every fastRetryInterval for fastRetryTime and then every
-	// slowRetryInterval. The short intervals bound how old the copy gets when the
-	// connections are silent for a moment; the long ones spare the table load
-	// during an outage.
+	// Checks that are not answered are repeated, without waiting for their end,
+	// every fastRetryInterval for fastRetryTime. The short interval bounds how
+	// old the copy gets when the connections are silent for a moment. After that
+	// time, and reads, which may be long, are repeated every slowRetryInterval,
+	// which spares the table load.
 	fastRetryInterval = 250 * time.Millisecond
-	slowRetryInterval = 600 * time.Millisecond
 	fastRetryTime     = 1500 * time.Millisecond
+	slowRetryInterval = callTimeout
 
 	// minShortPause is the pause between the end of a call and the next short
 	// call.
@@ -64,7 +64,7 @@
 		f.drawUnprovedLimit()
 	}
 	f.nextShort = now + slowRetryInterval
-	if now-f.askingSince < fastRetryTime {
+	if f.copy.loaded && now-f.askingSince < fastRetryTime {
 		f.nextShort = now + fastRetryInterval
 	}
 	kind, request := ReadCall, f.config.Source.Read
--- a/coordination/feed/silence_test.go
+++ b/coordination/feed/silence_test.go
@@ -206,6 +206,21 @@
 	})
 }
 
+// Guards against reads of a large table that are repeated while they make
+// progress, and then load the table several times over.
+func TestSlowReadIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		table := newFakeTable()
+		table.put("a", "1")
+		table.setLag(550 * time.Millisecond)
+		all := startGroup(t, table, 1, 0)
+		time.Sleep(600 * time.Millisecond)
+		g.Expect(all.copyOf(0)).To(gomega.HaveKeyWithValue("a", "1"))
+		g.Expect(table.requests).To(gomega.Equal(1))
+	})
+}
+
 // Guards against checks that multiply with the number of followers: those that
 // exchange proofs make few, and none when the watches of many prove enough.
 func TestFollowersThatExchangeProofsShareTheChecks(t *testing.T) {
