Give the gate's tests one set-up

Cause: nine tests of gate_test.go had the same five lines of set-up and the same two after each acquisition. Change: withGate and acquire hold them. What is checked is unchanged.

--- a/router/internal/schedule/gate_test.go
+++ b/router/internal/schedule/gate_test.go
@@ -65,49 +65,63 @@
 	return refusal.Reason
 }
 
-func TestRequestWaitsForFreeSlot(t *testing.T) {
+// gateTest is a test in virtual time with a gate and a snapshot.
+type gateTest struct {
+	*gomega.WithT
+	t        *testing.T
+	gate     *schedule.Gate
+	snapshot *fleet.Snapshot
+}
+
+// withGate runs a test with a gate without overcommitment, before a number of
+// servers with as many slots each.
+func withGate(t *testing.T, servers, slots int, run func(*gateTest)) {
 	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(1, 1))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
-		first, err := gate.Acquire(t.Context(), s, request(s, "front"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		run(&gateTest{
+			WithT: gomega.NewWithT(t), t: t, snapshot: fleet.New(1, testPlan(servers, slots)),
+			gate: schedule.NewGateWithOptions(schedule.Options{Overcommit: -1}),
+		})
+	})
+}
+
+// acquire acquires a server for a request of a class, which must succeed.
+func (g *gateTest) acquire(class string) *schedule.Grant {
+	g.t.Helper()
+	grant, err := g.gate.Acquire(g.t.Context(), g.snapshot, request(g.snapshot, class))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return grant
+}
+
+func TestRequestWaitsForFreeSlot(t *testing.T) {
+	withGate(t, 1, 1, func(g *gateTest) {
+		first := g.acquire("front")
 		time.AfterFunc(3*time.Second, func() { first.Close(schedule.Result{Tokens: 10}) })
-		second, err := gate.Acquire(t.Context(), s, request(s, "chat"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		second := g.acquire("chat")
 		g.Expect(second.Waited).To(gomega.Equal(3 * time.Second))
 		second.Close(schedule.Result{Tokens: 10})
 		second.Close(schedule.Result{Tokens: 10})
-		g.Expect(gate.State().Servers[0].Running).To(gomega.Equal(0))
+		g.Expect(g.gate.State().Servers[0].Running).To(gomega.Equal(0))
 	})
 }
 
 func TestCanceledRequestLeavesQueueAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(1, 1))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
-		held, err := gate.Acquire(t.Context(), s, request(s, "front"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		ctx, cancel := context.WithCancel(t.Context())
+	withGate(t, 1, 1, func(g *gateTest) {
+		held := g.acquire("front")
+		ctx, cancel := context.WithCancel(g.t.Context())
 		time.AfterFunc(time.Second, cancel)
 		start := time.Now()
-		_, err = gate.Acquire(ctx, s, request(s, "front"))
+		_, err := g.gate.Acquire(ctx, g.snapshot, request(g.snapshot, "front"))
 		g.Expect(reason(err)).To(gomega.Equal(schedule.Canceled))
 		g.Expect(time.Since(start)).To(gomega.Equal(time.Second))
-		g.Expect(gate.State().Waiting).To(gomega.Equal(0))
+		g.Expect(g.gate.State().Waiting).To(gomega.Equal(0))
 		held.Close(schedule.Result{})
 	})
 }
 
 func TestWaitEndsAtDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(1, 1))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
-		held, err := gate.Acquire(t.Context(), s, request(s, "protected"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = gate.Acquire(t.Context(), s, request(s, "protected"))
+	withGate(t, 1, 1, func(g *gateTest) {
+		held := g.acquire("protected")
+		_, err := g.gate.Acquire(g.t.Context(), g.snapshot, request(g.snapshot, "protected"))
 		g.Expect(err).To(gomega.MatchError(schedule.ErrRefused))
 		g.Expect(reason(err)).To(gomega.Equal(schedule.Expired))
 		held.Close(schedule.Result{})
@@ -115,43 +129,35 @@
 }
 
 func TestSimultaneousGrantAndCancelEndOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(1, 1))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
+	withGate(t, 1, 1, func(g *gateTest) {
 		for range 50 {
-			held, err := gate.Acquire(t.Context(), s, request(s, "front"))
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			held := g.acquire("front")
+			ctx, cancel := context.WithTimeout(g.t.Context(), time.Second)
 			time.AfterFunc(time.Second, func() { held.Close(schedule.Result{}) })
-			grant, err := gate.Acquire(ctx, s, request(s, "front"))
+			grant, err := g.gate.Acquire(ctx, g.snapshot, request(g.snapshot, "front"))
 			g.Expect((grant == nil) != (err == nil)).To(gomega.BeTrue())
 			if grant != nil {
 				grant.Close(schedule.Result{})
 			}
 			cancel()
 			synctest.Wait()
-			g.Expect(gate.State().Servers[0].Running).To(gomega.Equal(0))
+			g.Expect(g.gate.State().Servers[0].Running).To(gomega.Equal(0))
 		}
 	})
 }
 
 func TestNewSnapshotKeepsWaitingRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(1, 1))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
-		held, err := gate.Acquire(t.Context(), s, request(s, "front"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+	withGate(t, 1, 1, func(g *gateTest) {
+		held := g.acquire("front")
 		var group sync.WaitGroup
 		var mu sync.Mutex
 		served := make(map[string]int)
 		for i := range 8 {
 			name := []string{"protected", "tags"}[i%2]
 			group.Go(func() {
-				r := request(s, name)
+				r := request(g.snapshot, name)
 				r.MaxTokens = 1
-				grant, err := gate.Acquire(t.Context(), s, r)
+				grant, err := g.gate.Acquire(g.t.Context(), g.snapshot, r)
 				if err != nil {
 					return
 				}
@@ -163,79 +169,58 @@
 			})
 		}
 		synctest.Wait()
-		g.Expect(gate.State().Waiting).To(gomega.Equal(8))
+		g.Expect(g.gate.State().Waiting).To(gomega.Equal(8))
 		plan := testPlan(2, 1)
 		plan.ActivePreset = "night"
 		plan.Servers[0].State = backend.StateDraining
-		gate.Apply(fleet.New(2, plan))
+		g.gate.Apply(fleet.New(2, plan))
 		group.Wait()
 		g.Expect(served).To(gomega.Equal(map[string]int{"server1": 8}))
 		held.Close(schedule.Result{})
-		g.Expect(gate.State().Counts.Completed).To(gomega.Equal(uint64(9)))
+		g.Expect(g.gate.State().Counts.Completed).To(gomega.Equal(uint64(9)))
 	})
 }
 
 func TestFailedServerIsSkipped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(2, 4))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
-		first, err := gate.Acquire(t.Context(), s, request(s, "front"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+	withGate(t, 2, 4, func(g *gateTest) {
+		first := g.acquire("front")
 		first.Close(schedule.Result{Failed: true})
 		for range 4 {
-			next, err := gate.Acquire(t.Context(), s, request(s, "front"))
-			g.Expect(err).NotTo(gomega.HaveOccurred())
+			next := g.acquire("front")
 			g.Expect(next.Server.Name).NotTo(gomega.Equal(first.Server.Name))
 		}
 	})
 }
 
 func TestWaitingRequestRetriesFailedServer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(1, 4))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
-		first, err := gate.Acquire(t.Context(), s, request(s, "front"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+	withGate(t, 1, 4, func(g *gateTest) {
+		first := g.acquire("front")
 		first.Close(schedule.Result{Failed: true})
-		next, err := gate.Acquire(t.Context(), s, request(s, "front"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		next := g.acquire("front")
 		g.Expect(next.Waited).To(gomega.BeNumerically("<=", 2*time.Second))
 	})
 }
 
 func TestProtectedRequestUsesOnlyServerDespiteFailures(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(1, 4))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
+	withGate(t, 1, 4, func(g *gateTest) {
 		for range 3 {
-			next, err := gate.Acquire(t.Context(), s, request(s, "protected"))
-			g.Expect(err).NotTo(gomega.HaveOccurred())
+			next := g.acquire("protected")
 			g.Expect(next.Waited).To(gomega.BeZero())
 			next.Close(schedule.Result{Failed: true})
 		}
-		held, err := gate.Acquire(t.Context(), s, request(s, "front"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		held := g.acquire("front")
 		g.Expect(held.Waited).To(gomega.BeNumerically(">", 0))
 	})
 }
 
 func TestProtectedRequestAvoidsFailedServerIfAnotherExists(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		s := fleet.New(1, testPlan(2, 1))
-		gate := schedule.NewGateWithOptions(schedule.Options{Overcommit: -1})
-		first, err := gate.Acquire(t.Context(), s, request(s, "protected"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+	withGate(t, 2, 1, func(g *gateTest) {
+		first := g.acquire("protected")
 		first.Close(schedule.Result{Failed: true})
-		second, err := gate.Acquire(t.Context(), s, request(s, "protected"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		second := g.acquire("protected")
 		g.Expect(second.Server.Name).NotTo(gomega.Equal(first.Server.Name))
 		time.AfterFunc(100*time.Millisecond, func() { second.Close(schedule.Result{Tokens: 10}) })
-		third, err := gate.Acquire(t.Context(), s, request(s, "protected"))
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		third := g.acquire("protected")
 		g.Expect(third.Server.Name).To(gomega.Equal(second.Server.Name))
 	})
 }
