Suspect two members further apart than a node looks for expired suspicions

It suspects two members 500 ms apart and expects the second to be alive when the first is declared dead. A node looks for expired suspicions every 450 to 550 ms, at random, so one look can find both expired, which is correct. Change: 600 ms.

--- a/coordination/membership/gossip_test.go
+++ b/coordination/membership/gossip_test.go
@@ -58,7 +58,9 @@
 		sender := member(19)
 		sender.Region = "far"
 		sendProbe(node, sender, suspect(1))
-		time.Sleep(500 * time.Millisecond)
+		// A node looks for expired suspicions every 450 to 550 ms. With less
+		// between the two, one look can find both expired.
+		time.Sleep(600 * time.Millisecond)
 		sendProbe(node, sender, suspect(2))
 		waitFor(node, "m1", membership.Dead)
 		returning := suspect(1)
