Log for how long a server was silent and how late the timer was

Cause: a stream that the router canceled looked in the log like one whose time was over, and nothing told a silent server from a router that stood still. Change: a line when an attempt makes no progress, with the time since the last progress and the lateness of the router's timer; the cause in the error of a body that could not be read; the counter attempts.silent. No decision changes.

--- a/router/internal/hop/hop.go
+++ b/router/internal/hop/hop.go
@@ -70,6 +70,7 @@
 	pool           *Pool
 	keepAlive      time.Duration
 	stopCancel     func() bool
+	cancelCause    func() error
 	requestWritten *atomic.Bool
 	bodyRead       bool
 }
@@ -103,6 +104,7 @@
 		return nil, &link.ExchangeError{MaybeSent: true, Reused: c.reused, Err: err}
 	}
 	response.stopCancel = stopCancel
+	response.cancelCause = func() error { return context.Cause(ctx) }
 	return response, nil
 }
 
@@ -206,17 +208,21 @@
 	return b.Bytes()
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body. The
+// error names the cause if the context has ended.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if errors.Is(err, io.EOF) {
 		r.bodyRead = true
 		return n, io.EOF
 	}
-	if err != nil {
-		return n, fmt.Errorf("read body: %w", err)
+	if err == nil {
+		return n, nil
+	}
+	if cause := r.cancelCause(); cause != nil {
+		return n, fmt.Errorf("read body: %w: %w", cause, err)
 	}
-	return n, nil
+	return n, fmt.Errorf("read body: %w", err)
 }
 
 // Close ends the exchange. The connection is kept if the request was written
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -189,7 +189,7 @@
 	defer cancel(nil)
 	p.relay.streams.add(p, target.ID)
 	defer p.relay.streams.remove(p)
-	watch := p.watch(reservation, cancel)
+	watch := p.watch(target.ID, reservation, cancel)
 	defer watch.stop()
 	target.usage.unanswered.Add(1)
 	response, err := target.pool.Send(ctx, p.hopRequest(target))
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -98,3 +98,15 @@
 	p.addRequestFields(p.relay.options.log.Request(time.Now(), err)).Stringer("outcome", result).Bool("begun", p.headWritten).
 		Str("last", p.lastEventID).Msg("request repeated")
 }
+
+// logSilence logs an attempt at a server that makes no progress. The key silent
+// holds the time since the server last did, and overdue how late the router's
+// own timer was, both in milliseconds. canceled says whether the attempt is
+// given up for it.
+func (p *proxiedRequest) logSilence(server string, w *watchdog, canceled bool) {
+	now := time.Now()
+	silent, overdue := w.silence(now)
+	p.relay.metrics.silent.Inc(1)
+	p.relay.options.log.Request(now, nil).Str("request", p.info.AttemptID).Str("class", p.class.Name).Str("server", server).
+		Dur("silent", silent).Dur("overdue", overdue).Bool("canceled", canceled).Msg("server silent")
+}
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -21,9 +21,10 @@
 type requestMetrics struct {
 	registry metrics.Registry
 
-	// resumed counts the retries after the response had begun, and stale the
-	// requests that were refused for lack of a current plan. firstByte is the
-	// time to the first byte of a response, in milliseconds.
+	// resumed counts the retries after the response had begun, silent the times
+	// that a server made no progress for longer than a healthy one takes, and
+	// stale the requests that were refused for lack of a current plan. firstByte
+	// is the time to the first byte of a response, in milliseconds.
 	requests  metrics.Counter
 	served    metrics.Counter
 	refused   metrics.Counter
@@ -31,6 +32,7 @@
 	abandoned metrics.Counter
 	retries   metrics.Counter
 	resumed   metrics.Counter
+	silent    metrics.Counter
 	stale     metrics.Counter
 	firstByte metrics.Histogram
 
@@ -77,6 +79,7 @@
 		abandoned: metrics.GetOrRegisterCounter("requests.abandoned", registry),
 		retries:   metrics.GetOrRegisterCounter("attempts.repeated", registry),
 		resumed:   metrics.GetOrRegisterCounter("attempts.resumed", registry),
+		silent:    metrics.GetOrRegisterCounter("attempts.silent", registry),
 		stale:     metrics.GetOrRegisterCounter("keys.stale", registry),
 		firstByte: metrics.GetOrRegisterHistogram("answers.first", registry,
 			metrics.NewUniformSample(histogramSamples)),
