Separate speculative retries from those after failures

Cause: A retry that replaces a silent attempt is speculative, as what it replaces usually goes on by itself. With one budget for both, a pause of servers uses up the retries that failures need, and a retry that was taken and found no other server was lost. Change: retrybudget has TakeSpeculative, which may use half of the allowed retries of a window and never the one that is always allowed, and Return and ReturnSpeculative, which take the time of the taking and remove a retry from its bucket. The kinds are returned by methods of their own, so that the count of speculative retries can't fall below the true one. Nothing calls them yet. Conclusion: The bound of all retries is the one that Take had.

--- a/router/internal/retrybudget/budget.go
+++ b/router/internal/retrybudget/budget.go
@@ -15,10 +15,18 @@
 	// bucketCount is the number of buckets that are kept. Retries are counted for
 	// longer than a window, since a window may begin in the middle of a bucket.
 	bucketCount = bucketsPerWindow + 2
+
+	// SpeculativeFraction is the fraction of the allowed retries of a window that
+	// may be speculative.
+	SpeculativeFraction = 0.5
 )
 
 // Budget counts requests and retries by service in a sliding window. Its methods
 // are safe for concurrent use.
+//
+// A retry after a failure replaces an attempt that is lost. A speculative retry
+// replaces one that may still succeed, so it may use a fraction of the budget only
+// and leaves the rest to failures.
 type Budget struct {
 	windowLength time.Duration
 
@@ -35,7 +43,11 @@
 // n%bucketCount.
 type slidingWindow struct {
 	requests [bucketCount]int
-	retries  [bucketCount]int
+
+	// retries counts all retries, and speculative those of them that are
+	// speculative.
+	retries     [bucketCount]int
+	speculative [bucketCount]int
 
 	// current is the number of the latest bucket.
 	current int64
@@ -62,25 +74,90 @@
 	w.requests[w.current%bucketCount]++
 }
 
-// Take consumes one retry and reports whether one was available. It always allows
-// one in a window, since a router with few requests would otherwise have none.
+// Take consumes one retry after a failure and reports whether one was available.
+// It always allows one in a window, since a router with few requests would
+// otherwise have none.
 func (b *Budget) Take(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
-	requests, retries := 0, 0
+	requests, retries, _ := w.totals()
+	if retries > 0 && float64(retries+1) > b.ratio*float64(requests) {
+		return false
+	}
+	w.retries[w.current%bucketCount]++
+	return true
+}
+
+// TakeSpeculative consumes one speculative retry and reports whether one was
+// available. Unlike Take it allows none beyond the ratio.
+func (b *Budget) TakeSpeculative(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.windowAt(now, service)
+	requests, retries, speculative := w.totals()
+	allowed := b.ratio * float64(requests)
+	if float64(retries+1) > allowed || float64(speculative+1) > SpeculativeFraction*allowed {
+		return false
+	}
+	w.retries[w.current%bucketCount]++
+	w.speculative[w.current%bucketCount]++
+	return true
+}
+
+// Return gives back a retry that Take allowed and that was not sent. takenAt is
+// the time that was passed to Take.
+func (b *Budget) Return(takenAt time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, i := b.bucketOf(takenAt, service)
+	if w != nil && w.retries[i] > w.speculative[i] {
+		w.retries[i]--
+	}
+}
+
+// ReturnSpeculative gives back a retry that TakeSpeculative allowed and that was
+// not sent. takenAt is the time that was passed to TakeSpeculative.
+func (b *Budget) ReturnSpeculative(takenAt time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, i := b.bucketOf(takenAt, service)
+	if w != nil && w.speculative[i] > 0 {
+		w.retries[i]--
+		w.speculative[i]--
+	}
+}
+
+// totals returns the requests of a window, and all retries and the speculative
+// ones that are kept.
+func (w *slidingWindow) totals() (requests, retries, speculative int) {
 	for age := range int64(bucketCount) {
 		i := (w.current - age + bucketCount) % bucketCount
 		retries += w.retries[i]
+		speculative += w.speculative[i]
 		if age < bucketsPerWindow {
 			requests += w.requests[i]
 		}
 	}
-	if retries > 0 && float64(retries+1) > b.ratio*float64(requests) {
-		return false
+	return requests, retries, speculative
+}
+
+// bucketOf returns the counts of a service and the index of the bucket of a past
+// time, or nil if that bucket is no longer kept. Retries that were counted out of
+// order are in a later bucket, never in an earlier one, so that taking one off this
+// bucket can't raise the retries of a window. The caller must hold b.mu.
+func (b *Budget) bucketOf(at time.Time, service string) (*slidingWindow, int64) {
+	w, ok := b.windows[service]
+	bucket := b.bucketNumber(at)
+	if !ok || bucket < 0 || bucket > w.current || bucket <= w.current-bucketCount {
+		return nil, 0
 	}
-	w.retries[w.current%bucketCount]++
-	return true
+	return w, bucket % bucketCount
+}
+
+// bucketNumber returns the number of the bucket that a time is in.
+func (b *Budget) bucketNumber(at time.Time) int64 {
+	return int64(at.Sub(b.start) / max(b.windowLength/bucketsPerWindow, 1))
 }
 
 // windowAt returns the counts of a service, advanced to the bucket of now. The
@@ -91,7 +168,7 @@
 		w = &slidingWindow{}
 		b.windows[service] = w
 	}
-	bucket := int64(now.Sub(b.start) / max(b.windowLength/bucketsPerWindow, 1))
+	bucket := b.bucketNumber(now)
 	if bucket-w.current >= bucketCount {
 		*w = slidingWindow{current: bucket}
 	}
@@ -99,6 +176,7 @@
 		w.current++
 		w.requests[w.current%bucketCount] = 0
 		w.retries[w.current%bucketCount] = 0
+		w.speculative[w.current%bucketCount] = 0
 	}
 	return w
 }
--- a/router/internal/retrybudget/budget_test.go
+++ b/router/internal/retrybudget/budget_test.go
@@ -67,3 +67,164 @@
 	g.Expect(budget.Take(now, "busy")).To(gomega.BeTrue())
 	g.Expect(budget.Take(now, "busy")).To(gomega.BeTrue())
 }
+
+// retry is a retry that a budget allowed.
+type retry struct {
+	at          time.Time
+	speculative bool
+}
+
+// history is what a budget was asked for and what it allowed.
+type history struct {
+	budget   *retrybudget.Budget
+	requests []time.Time
+	retries  []retry
+}
+
+// take asks for a retry and records it if it was allowed.
+func (h *history) take(now time.Time, speculative bool) bool {
+	take := h.budget.Take
+	if speculative {
+		take = h.budget.TakeSpeculative
+	}
+	if !take(now, "s") {
+		return false
+	}
+	h.retries = append(h.retries, retry{at: now, speculative: speculative})
+	return true
+}
+
+// giveBack returns a retry to the budget and removes it from the record.
+func (h *history) giveBack(i int) {
+	r := h.retries[i]
+	if r.speculative {
+		h.budget.ReturnSpeculative(r.at, "s")
+	} else {
+		h.budget.Return(r.at, "s")
+	}
+	h.retries = append(h.retries[:i:i], h.retries[i+1:]...)
+}
+
+// retriesWithin returns the number of all and of speculative retries in the span
+// that ends at now.
+func (h *history) retriesWithin(now time.Time, span time.Duration) (all, speculative int) {
+	for _, r := range h.retries {
+		if now.Sub(r.at) > span {
+			continue
+		}
+		all++
+		if r.speculative {
+			speculative++
+		}
+	}
+	return all, speculative
+}
+
+// drawStep draws the time between two events of a history: mostly shorter than a
+// bucket, sometimes longer than a window.
+func drawStep(rt *rapid.T) time.Duration {
+	longest := rapid.SampledFrom([]int{20, 20, 20, 200, 200, 2_000, 15_000}).Draw(rt, "longest")
+	return time.Duration(rapid.IntRange(0, longest).Draw(rt, "ms")) * time.Millisecond
+}
+
+// TestSpeculativeRetriesStayWithinFraction checks the window that ends at each
+// retry: all retries stay within what Take alone allows, and speculative ones
+// within their fraction, without the one retry that is always allowed.
+func TestSpeculativeRetriesStayWithinFraction(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := &history{budget: retrybudget.NewBudget(ratio, windowLength)}
+		now := time.Now()
+		for range rapid.IntRange(1, 400).Draw(rt, "steps") {
+			now = now.Add(drawStep(rt))
+			switch kind := rapid.IntRange(0, 9).Draw(rt, "kind"); {
+			case kind < 5:
+				h.budget.RecordRequest(now, "s")
+				h.requests = append(h.requests, now)
+			case kind < 9:
+				takesSpeculative := kind < 7
+				if !h.take(now, takesSpeculative) {
+					continue
+				}
+				allowed := ratio * float64(countWithin(h.requests, now, windowLength))
+				all, speculative := h.retriesWithin(now, windowLength)
+				if float64(all) > max(1, allowed) ||
+					takesSpeculative && float64(speculative) > retrybudget.SpeculativeFraction*allowed {
+					rt.Fatalf("%d retries, %d of them speculative, of %.1f allowed", all, speculative, allowed)
+				}
+			case len(h.retries) > 0:
+				h.giveBack(rapid.IntRange(0, len(h.retries)-1).Draw(rt, "returned"))
+			}
+		}
+	})
+}
+
+// TestReturnedRetriesLeaveNoTrace checks that a budget from which retries were
+// taken and returned decides as one from which they were never taken.
+func TestReturnedRetriesLeaveNoTrace(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := &history{budget: retrybudget.NewBudget(ratio, windowLength)}
+		plain := retrybudget.NewBudget(ratio, windowLength)
+		now := time.Now()
+		for range rapid.IntRange(1, 400).Draw(rt, "steps") {
+			now = now.Add(drawStep(rt))
+			if rapid.Bool().Draw(rt, "request") {
+				h.budget.RecordRequest(now, "s")
+				plain.RecordRequest(now, "s")
+				continue
+			}
+			speculative := rapid.Bool().Draw(rt, "speculative")
+			allowed := h.take(now, speculative)
+			if allowed && rapid.Bool().Draw(rt, "returned") {
+				h.giveBack(len(h.retries) - 1)
+				continue
+			}
+			take := plain.Take
+			if speculative {
+				take = plain.TakeSpeculative
+			}
+			if take(now, "s") != allowed {
+				rt.Fatalf("allowed %t, without the returned retries %t", allowed, !allowed)
+			}
+		}
+	})
+}
+
+// TestReturnRemovesTheTakenRetryOnly checks that a retry that is returned twice, as
+// the wrong kind, or when its bucket is in use again, takes off none of the others.
+func TestReturnRemovesTheTakenRetryOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := retrybudget.NewBudget(ratio, windowLength)
+	first := time.Now()
+	g.Expect(budget.Take(first, "s")).To(gomega.BeTrue())
+	budget.ReturnSpeculative(first, "s")
+	g.Expect(budget.Take(first, "s")).To(gomega.BeFalse())
+	budget.Return(first, "s")
+	budget.Return(first, "s")
+	g.Expect(budget.Take(first, "s")).To(gomega.BeTrue())
+	g.Expect(budget.Take(first, "s")).To(gomega.BeFalse())
+	later := first.Add(11 * windowLength / 10)
+	g.Expect(budget.Take(later, "s")).To(gomega.BeTrue())
+	budget.Return(first, "s")
+	g.Expect(budget.Take(later, "s")).To(gomega.BeFalse())
+}
+
+// TestFailuresFindTheRestOfTheBudget checks that speculative retries leave half of
+// the allowed retries to failures.
+func TestFailuresFindTheRestOfTheBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := retrybudget.NewBudget(ratio, windowLength)
+	now := time.Now()
+	g.Expect(budget.TakeSpeculative(now, "s")).To(gomega.BeFalse())
+	for range 100 {
+		budget.RecordRequest(now, "s")
+	}
+	speculative, failures := 0, 0
+	for budget.TakeSpeculative(now, "s") {
+		speculative++
+	}
+	for budget.Take(now, "s") {
+		failures++
+	}
+	g.Expect(speculative).To(gomega.Equal(10))
+	g.Expect(failures).To(gomega.Equal(10))
+}
