Give up a silent attempt only for a secured successor

What callers saw: requests that may run again got 502, and resumable streams were cut in the middle, when their server stood still for a second or so; beside a new plan as at any other time. Cause: the watchdog canceled an attempt that made no progress, and only then the router looked for an attempt left, a retry in the budget and another server. If one was missing, the caller had nothing, though the server would have gone on. Silence was taken for a failure. Change: silence is reported to the balancer at once, as before, so that other requests avoid the server. The attempt itself is given up only when a successor is secured: a server with room that neither fails nor is silent, a speculative retry in the budget, and time to answer. A stream waits for at least the longest pause of a healthy server, 1.5 s, unless no connection to the server can be made, as the server may still work on it. After a limit has passed the router waits another 0.1 s, so that it reads what arrived while it stood still itself. If all servers were tried, a request that may have run is tried again at one of them. Migrations hand over in the same way; a run before a migration that the destination rejects now counts. Ruled out: a longer limit alone (the loss only moves to longer pauses), retry-extra (the sum over routers can't be kept by it alone), waiting for the deadline (a stream at a dead server would be lost: callers wait 2 s between events).

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// errStalled is the cancellation cause of an attempt whose server made no
-	// progress.
+	// errStalled is the cancellation cause of an attempt that was given up for a
+	// successor, as its server made no progress.
 	errStalled = errors.ConstError("server stalled")
 
 	// errUnsigned means that a successful response lacks a backend server's
@@ -39,18 +39,6 @@
 	// request is given up.
 	maxRejections = 3
 
-	// stallFactor and stallTargetFactor bound how long a request waits for the
-	// start of its response before its server counts as stalled. They multiply
-	// the expected time and the latency target of the request's class; the
-	// longer of the two applies.
-	stallFactor       = 8
-	stallTargetFactor = 2
-
-	// gapFactor and gapFloor bound the pause between events of a stream: a
-	// multiple of the class's target gap, but at least the floor.
-	gapFactor = 4
-	gapFloor  = 800 * time.Millisecond
-
 	// minAttemptTime is the least time before the deadline that is worth
 	// another attempt.
 	minAttemptTime = 5 * time.Millisecond
@@ -96,28 +84,34 @@
 // runAttempts makes attempts until one is answered or the request is given up.
 func (p *proxiedRequest) runAttempts(ctx context.Context) {
 	defer p.dropMigration()
+	var next *successor
 	for {
-		p.askLoads(ctx)
-		reservation, choice, err := p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried)
-		if err != nil {
-			p.handleNoServer(ctx, choice, err)
+		reservation, ok := p.reserve(ctx, next)
+		if !ok {
 			return
 		}
-		p.recordChoice(choice, time.Now(), p.relay.serversAge())
-		result, err := p.attempt(ctx, reservation)
+		var result attemptResult
+		var err error
+		result, next, err = p.attempt(ctx, reservation)
 		p.countAttempt(result)
 		switch {
 		case result == answered:
+			p.releaseSuccessor(next)
 			p.recordServed()
 			return
 		case result == callerGone, p.request.Context().Err() != nil:
+			p.releaseSuccessor(next)
 			p.abortAbandoned()
 			return
+		case next == nil:
+			next = p.awaitMigration(ctx)
 		}
-		if p.continueMigrated(ctx) {
-			return
+		if next != nil {
+			p.countRetry(true)
+			p.logRetry(result, err)
+			continue
 		}
-		if reason := p.stopReason(ctx, result); reason != "" {
+		if reason := p.stopReason(ctx); reason != "" {
 			p.logLastAttempt(result, err)
 			p.finishUnanswered(ctx, reason)
 			return
@@ -126,6 +120,36 @@
 	}
 }
 
+// reserve returns the reservation for the next attempt: that of a successor, or
+// one at a server that is chosen now. If there is none, it answers the request
+// and returns false.
+func (p *proxiedRequest) reserve(ctx context.Context, next *successor) (*placement.Reservation, bool) {
+	p.kvCopy = KVCopy{}
+	if next != nil {
+		p.kvCopy = next.kvCopy
+		p.recordChoice(next.choice, next.chosenAt, next.listAge)
+		return next.reservation, true
+	}
+	p.askLoads(ctx, p.tried)
+	reservation, choice, err := p.pick()
+	if err != nil {
+		p.handleNoServer(ctx, choice, err)
+		return nil, false
+	}
+	p.recordChoice(choice, time.Now(), p.relay.serversAge())
+	return reservation, true
+}
+
+// pick chooses a server that was not tried. A request that may have run can't be
+// refused, so if all servers were tried, another one than the last is tried again.
+func (p *proxiedRequest) pick() (*placement.Reservation, placement.Choice, error) {
+	reservation, choice, err := p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried)
+	if p.executions == 0 || !errors.Is(err, placement.ErrNoServer) {
+		return reservation, choice, err
+	}
+	return p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried[len(p.tried)-1:])
+}
+
 // recordChoice records the choice of a server for the next attempt, when it was
 // made, and the age that the list of servers had.
 func (p *proxiedRequest) recordChoice(choice placement.Choice, at time.Time, listAge time.Duration) {
@@ -134,13 +158,14 @@
 	p.sendDelay = 0
 }
 
-// askLoads updates the loads of the engines that are considered for the request.
-func (p *proxiedRequest) askLoads(ctx context.Context) {
+// askLoads updates the loads of the engines that are considered for the request
+// after it was tried at some servers.
+func (p *proxiedRequest) askLoads(ctx context.Context, tried []string) {
 	ask := p.relay.options.askLoads
 	if ask == nil || p.class.Kind != Stream {
 		return
 	}
-	if servers := p.relay.balancer.Candidates(time.Now(), p.placementRequest, p.tried); len(servers) > 0 {
+	if servers := p.relay.balancer.Candidates(time.Now(), p.placementRequest, tried); len(servers) > 0 {
 		ask(ctx, servers)
 	}
 }
@@ -158,11 +183,11 @@
 
 // stopReason returns why no further attempt is made, or an empty string. In the
 // latter case it takes a retry from the budget.
-func (p *proxiedRequest) stopReason(ctx context.Context, result attemptResult) string {
+func (p *proxiedRequest) stopReason(ctx context.Context) string {
 	switch {
 	case ctx.Err() != nil || time.Until(p.deadline) < minAttemptTime:
 		return "out of time"
-	case result != notExecuted && !p.class.Retryable():
+	case p.executions > 0 && !p.class.Retryable():
 		return "may have run"
 	case p.executions >= max(p.class.MaxAttempts, 1):
 		return "attempts used up"
@@ -173,24 +198,29 @@
 		return "retry budget used up"
 	}
 	p.countRetry(true)
-	p.relay.metrics.retries.Inc(1)
 	return ""
 }
 
 // attempt sends the request to the chosen server and relays the response. It
-// completes the reservation.
-func (p *proxiedRequest) attempt(ctx context.Context, reservation *placement.Reservation) (attemptResult, error) {
+// completes the reservation. If the attempt was given up as its server is silent,
+// it returns the place for the next one.
+func (p *proxiedRequest) attempt(ctx context.Context, reservation *placement.Reservation) (attemptResult, *successor, error) {
 	target, ok := (*p.relay.servers.Load())[p.choice.Server]
 	if !ok {
 		reservation.Done(time.Now(), placement.Canceled)
-		return notExecuted, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
+		return notExecuted, nil, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p.relay.streams.add(p, target.ID)
 	defer p.relay.streams.remove(p)
-	watch := p.watch(target.ID, reservation, cancel)
-	defer watch.stop()
+	watch := p.watch(ctx, target.ID, reservation, cancel)
+	result, err := p.exchange(ctx, target, reservation, watch)
+	return result, watch.finish(), err
+}
+
+// exchange makes the exchange of an attempt with a server.
+func (p *proxiedRequest) exchange(ctx context.Context, target *backendServer, reservation *placement.Reservation, watch *watchdog) (attemptResult, error) {
 	target.usage.unanswered.Add(1)
 	response, err := target.pool.Send(ctx, p.hopRequest(target))
 	target.usage.unanswered.Add(-1)
@@ -203,11 +233,18 @@
 	result, err := p.relayResponse(response, reservation, watch)
 	reservation.Done(time.Now(), p.placementOutcome(ctx, result, response))
 	if result != notExecuted {
-		p.executions++
+		p.countExecution()
 	}
 	return result, err
 }
 
+// countExecution counts a run of the request. A run that was migrated counts once.
+func (p *proxiedRequest) countExecution() {
+	if p.kvCopy.Handle == "" {
+		p.executions++
+	}
+}
+
 // placementOutcome maps the result of an attempt to the outcome that the
 // balancer learns from.
 func (p *proxiedRequest) placementOutcome(ctx context.Context, result attemptResult, response *hop.Response) placement.Outcome {
@@ -250,7 +287,7 @@
 	if !maybeSent {
 		return notExecuted, err
 	}
-	p.executions++
+	p.countExecution()
 	return incomplete, err
 }
 
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -100,13 +100,18 @@
 }
 
 // logSilence logs an attempt at a server that makes no progress. The key silent
-// holds the time since the server last did, and overdue how late the router's
-// own timer was, both in milliseconds. canceled says whether the attempt is
-// given up for it.
-func (p *proxiedRequest) logSilence(server string, w *watchdog, canceled bool) {
-	now := time.Now()
-	silent, overdue := w.silence(now)
+// holds the time since the server last did, and overdue how long that is beyond
+// the limit, both in milliseconds; with a high overdue the router itself stood
+// still.
+func (p *proxiedRequest) logSilence(server string, silent, overdue time.Duration) {
 	p.relay.metrics.silent.Inc(1)
-	p.relay.options.log.Request(now, nil).Str("request", p.info.AttemptID).Str("class", p.class.Name).Str("server", server).
-		Dur("silent", silent).Dur("overdue", overdue).Bool("canceled", canceled).Msg("server silent")
+	p.relay.options.log.Request(time.Now(), nil).Str("request", p.info.AttemptID).Str("class", p.class.Name).Str("server", server).
+		Dur("silent", silent).Dur("overdue", overdue).Msg("server silent")
+}
+
+// logReplacement logs an attempt that is given up for one at another server. The
+// key silent is as in logSilence; from and to hold the IDs of the servers.
+func (p *proxiedRequest) logReplacement(from, to string, silent time.Duration) {
+	p.relay.options.log.Request(time.Now(), nil).Str("request", p.info.AttemptID).Str("class", p.class.Name).
+		Str("from", from).Str("to", to).Dur("silent", silent).Msg("silent attempt replaced")
 }
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -213,6 +213,9 @@
 // countRetry counts a retry, or one that the budget denied.
 func (p *proxiedRequest) countRetry(allowed bool) {
 	s := p.relay.metrics.service(p.service)
+	if allowed {
+		p.relay.metrics.retries.Inc(1)
+	}
 	switch {
 	case s == nil:
 	case allowed:
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -23,14 +23,11 @@
 // errNotMigrated means that a run could not be migrated.
 const errNotMigrated = errors.ConstError("run not migrated")
 
-// migrationResult is the result of a migration.
+// migrationResult is the result of a migration: the place where the run goes on,
+// or an error.
 type migrationResult struct {
-	kvCopy      KVCopy
-	reservation *placement.Reservation
-	choice      placement.Choice
-	chosenAt    time.Time
-	listAge     time.Duration
-	err         error
+	successor
+	err error
 }
 
 // migrateStreams migrates streams off a server that drains or is gone, after a
@@ -99,7 +96,9 @@
 	if err != nil {
 		return migrationResult{err: fmt.Errorf("%w: %w", errNotMigrated, err)}
 	}
-	migration := migrationResult{reservation: reservation, choice: choice, chosenAt: time.Now(), listAge: r.serversAge()}
+	migration := migrationResult{
+		successor: successor{reservation: reservation, choice: choice, chosenAt: time.Now(), listAge: r.serversAge()},
+	}
 	target, ok := (*r.servers.Load())[choice.Server]
 	if !ok {
 		reservation.Done(time.Now(), placement.Canceled)
@@ -115,35 +114,23 @@
 	return migration
 }
 
-// continueMigrated continues a request whose run was migrated. It returns false
-// if none was, or if the attempt at the new server failed as well and another
-// server may be tried.
-func (p *proxiedRequest) continueMigrated(ctx context.Context) bool {
+// awaitMigration returns the place where a run goes on that was migrated. It
+// returns nil if none was, or if the migration failed.
+func (p *proxiedRequest) awaitMigration(ctx context.Context) *successor {
 	results := p.relay.streams.takeMigration(p)
 	if results == nil {
-		return false
+		return nil
 	}
-	var migration migrationResult
 	select {
-	case migration = <-results:
+	case migration := <-results:
+		if migration.err != nil {
+			return nil
+		}
+		return &migration.successor
 	case <-ctx.Done():
 		go discardMigration(results)
-		return false
-	}
-	if migration.err != nil {
-		return false
-	}
-	p.kvCopy = migration.kvCopy
-	p.recordChoice(migration.choice, migration.chosenAt, migration.listAge)
-	p.executions-- // The migrated run counts once.
-	result, err := p.attempt(ctx, migration.reservation)
-	p.kvCopy = KVCopy{}
-	if result == answered {
-		p.recordServed()
-		return true
+		return nil
 	}
-	p.logRetry(result, err)
-	return false
 }
 
 // discardMigration waits for a migration whose request has ended and releases
--- /dev/null
+++ b/router/relay/silence_test.go
@@ -0,0 +1,138 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"snipetally.example/router/relay"
+)
+
+// silentServers are servers that are silent until the router has noticed it, and
+// then go on.
+type silentServers struct {
+	goOn chan struct{}
+}
+
+// answerLate answers a request that is not a stream after the silence.
+func (s *silentServers) answerLate(w http.ResponseWriter, _ *http.Request) {
+	<-s.goOn
+	respond("late")(w, nil)
+}
+
+// pauseInStream sends two events, and two more after the silence.
+func (s *silentServers) pauseInStream(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(signedHeader, "yes")
+	_, _ = io.WriteString(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	_ = http.NewResponseController(w).Flush()
+	<-s.goOn
+	_, _ = io.WriteString(w, "id: 3\ndata: 3\n\nid: 4\ndata: 4\n\n")
+}
+
+// fourEvents is the complete stream of pauseInStream.
+const fourEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
+
+// newQuickClass returns a class that may run three times and whose servers soon
+// count as silent.
+func newQuickClass(kind relay.Kind) relay.Class {
+	class := newClass("a", kind, 3)
+	class.Resumable = kind == relay.Stream
+	class.TargetLatency, class.TargetGap = time.Millisecond, time.Millisecond
+	return class
+}
+
+// Guards against requests that are ended at a silent server, which goes on, when
+// there is no retry, no attempt or no place for another one.
+func TestAttemptAtSilentServerGoesOnWithoutASuccessor(t *testing.T) {
+	withoutRetries := func(c *relay.Config) { c.Bounds.RetryRatio = 0 }
+	cases := map[string]struct {
+		configure func(*relay.Config)
+		attempts  int
+		servers   int
+	}{
+		"no retry in the budget": {withoutRetries, 3, 2},
+		"no attempt left":        {func(*relay.Config) {}, 1, 2},
+		"no other server":        {func(*relay.Config) {}, 3, 1},
+	}
+	for name, c := range cases {
+		for _, kind := range []relay.Kind{relay.Idempotent, relay.Stream} {
+			t.Run(fmt.Sprint(name, ", ", kind), func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				servers := &silentServers{goOn: make(chan struct{})}
+				handler, want := servers.answerLate, "late"
+				if kind == relay.Stream {
+					handler, want = servers.pauseInStream, fourEvents
+				}
+				class := newQuickClass(kind)
+				class.MaxAttempts = c.attempts
+				handlers := []http.HandlerFunc{handler, handler}[:c.servers]
+				r, backends := startConfiguredNode(t, c.configure, newPlan(class), handlers...)
+				end := make(chan reply, 1)
+				go func() { end <- r.call(t, http.MethodPost, "/a/x", "") }()
+				r.waitUntil(t, r.logged("server silent", 1))
+				time.Sleep(afterSilence)
+				close(servers.goOn)
+				got := <-end
+				g.Expect(got.err).NotTo(gomega.HaveOccurred())
+				g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+				g.Expect(got.body).To(gomega.Equal(want))
+				g.Expect(totalArrived(backends)).To(gomega.Equal(1))
+			})
+		}
+	}
+}
+
+// afterSilence is how long servers stay silent after the router noticed it. A
+// router that gives attempts up without a successor has done so by then.
+const afterSilence = 1800 * time.Millisecond
+
+// totalArrived returns the number of requests that arrived at all backends.
+func totalArrived(backends []*backend) int {
+	total := 0
+	for _, b := range backends {
+		total += int(b.arrived.Load())
+	}
+	return total
+}
+
+// Guards against requests that wait for a server that stays silent although
+// another one has room for them.
+func TestAttemptAtSilentServerIsReplaced(t *testing.T) {
+	for _, kind := range []relay.Kind{relay.Idempotent, relay.Stream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			silent := make(chan string, 1)
+			handler := func(w http.ResponseWriter, req *http.Request) {
+				select {
+				case silent <- req.Header.Get(instanceHeader): // The first attempt.
+					w.Header().Set(signedHeader, "yes")
+					if kind == relay.Stream {
+						_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+						_ = http.NewResponseController(w).Flush()
+					}
+					<-req.Context().Done()
+				default:
+					if kind == relay.Stream {
+						streamEvents(1, 4, true)(w, req)
+						return
+					}
+					respond("ok")(w, req)
+				}
+			}
+			r, backends := startNode(t, newPlan(newQuickClass(kind)), handler, handler)
+			got := r.call(t, http.MethodPost, "/a/x", "")
+			g.Expect(got.err).NotTo(gomega.HaveOccurred())
+			g.Expect(got.body).To(gomega.Equal(map[relay.Kind]string{relay.Idempotent: "ok", relay.Stream: fourEvents}[kind]))
+			for _, b := range backends {
+				g.Expect(b.arrived.Load()).To(gomega.Equal(int32(1)))
+			}
+			g.Expect(r.logged("silent attempt replaced", 1)()).To(gomega.BeTrue())
+		})
+	}
+}
--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -116,3 +116,11 @@
 		state.migration = nil
 	}
 }
+
+// migrating reports whether a migration of the stream was started.
+func (s *streamRegistry) migrating(p *proxiedRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.open[p]
+	return ok && state.migration != nil
+}
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -8,69 +8,186 @@
 	"snipetally.example/router/internal/placement"
 )
 
-// watchdog detects an attempt that makes no progress. It reports the stall to
-// the balancer, and cancels the attempt if the request may be sent to another
-// server.
+const (
+	// stallFactor and stallTargetFactor bound how long a request waits for the
+	// start of its response before its server counts as silent. They multiply
+	// the expected time and the latency target of the request's class; the
+	// longer of the two applies.
+	stallFactor       = 8
+	stallTargetFactor = 2
+
+	// gapFactor and gapFloor bound the pause between events of a stream: a
+	// multiple of the class's target gap, but at least the floor.
+	gapFactor = 4
+	gapFloor  = 800 * time.Millisecond
+
+	// maxHealthyPause is the longest time for which a healthy server may stand
+	// still. A stream at a silent server is not moved earlier if the server is
+	// reachable: the server may still work on it, and the prompt has to be
+	// processed again at another one.
+	maxHealthyPause = 1500 * time.Millisecond
+
+	// catchUpTime is how long a router waits after a limit has passed before it
+	// calls a server silent. If the router itself stood still, it reads in that
+	// time what has arrived meanwhile.
+	catchUpTime = 100 * time.Millisecond
+
+	// silenceCheckInterval is the time between two checks of whether a silent
+	// attempt can be replaced.
+	silenceCheckInterval = 250 * time.Millisecond
+)
+
+// watchdog watches an attempt for silence of its server. Silence is no failure,
+// as a healthy server may stand still for a moment and go on. The watchdog
+// reports it to the balancer at once, so that other requests avoid the server,
+// but it ends the attempt only when it has secured a successor. An attempt
+// without one goes on until its server fails or the time is over.
 type watchdog struct {
-	// gapLimit is the longest pause between events.
-	gapLimit time.Duration
+	request     *proxiedRequest
+	server      string
+	reservation *placement.Reservation
+
+	// ctx is the context of the attempt, and cancel ends it.
+	ctx    context.Context //nolint:containedctx // The watchdog's timer runs within the attempt.
+	cancel context.CancelCauseFunc
+
+	// replaceable says that the request may be sent to another server after this
+	// attempt. tried are the servers of its attempts so far.
+	replaceable bool
+	tried       []string
 
-	// mu guards the fields below. progressAt is when the server last made
-	// progress, and dueAt when it counts as stalled.
-	mu         sync.Mutex
-	timer      *time.Timer
+	// mu guards the fields below. No other lock is taken while it is held, except
+	// those of the balancer and the retry budget.
+	mu    sync.Mutex
+	timer *time.Timer
+
+	// progressAt is when the server last made progress, and limit how long it may
+	// take for the next.
 	progressAt time.Time
-	dueAt      time.Time
+	limit      time.Duration
+
+	// overdue says that the limit has passed and the router is catching up;
+	// reported, that the silence has been reported.
+	overdue  bool
+	reported bool
+
+	// ended says that the attempt is over or has been given up. successor is the
+	// place for the next attempt in the latter case.
+	ended     bool
+	successor *successor
 }
 
 // watch starts a watchdog for an attempt at a server.
-func (p *proxiedRequest) watch(server string, reservation *placement.Reservation, cancel context.CancelCauseFunc) *watchdog {
-	firstLimit := max(stallFactor*reservation.ExpectedLatency(), stallTargetFactor*p.class.TargetLatency)
+func (p *proxiedRequest) watch(ctx context.Context, server string, reservation *placement.Reservation, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{
+		request:     p,
+		server:      server,
+		reservation: reservation,
+		ctx:         ctx,
+		cancel:      cancel,
+		replaceable: p.class.Retryable() && p.executions+1 < max(p.class.MaxAttempts, 1),
+		tried:       append([]string(nil), p.tried...),
+		progressAt:  time.Now(),
+		limit:       max(stallFactor*reservation.ExpectedLatency(), stallTargetFactor*p.class.TargetLatency),
+	}
 	if p.headWritten {
-		firstLimit = max(firstLimit, p.gapLimit())
+		w.limit = max(w.limit, p.gapLimit())
 	}
-	retryable := p.class.Retryable() && p.executions+1 < max(p.class.MaxAttempts, 1)
-	w := &watchdog{gapLimit: p.gapLimit()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.expectProgress(time.Now(), firstLimit)
-	w.timer = time.AfterFunc(firstLimit, func() {
-		reservation.RecordStall(time.Now())
-		p.logSilence(server, w, retryable)
-		if retryable {
-			cancel(errStalled)
-		}
-	})
+	w.timer = time.AfterFunc(w.limit, w.check)
 	return w
 }
 
-// gapLimit returns the longest pause between events before a stream counts as
-// stalled.
+// gapLimit returns the longest pause between events before the server of a stream
+// counts as silent.
 func (p *proxiedRequest) gapLimit() time.Duration {
 	return max(gapFactor*p.class.TargetGap, gapFloor)
 }
 
-// expectProgress sets the time by which the server has to make progress. The
-// caller holds w.mu.
-func (w *watchdog) expectProgress(now time.Time, limit time.Duration) {
-	w.progressAt, w.dueAt = now, now.Add(limit)
+// progress records that events have arrived.
+func (w *watchdog) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progressAt, w.limit = time.Now(), w.request.gapLimit()
+	if w.overdue && !w.ended {
+		w.overdue, w.reported = false, false
+		w.timer.Reset(w.limit)
+	}
 }
 
-// progress restarts the timer after events have arrived.
-func (w *watchdog) progress() {
+// finish ends the watch. It returns the place for the next attempt if this one was
+// given up, which the caller has to use or to release.
+func (w *watchdog) finish() *successor {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.expectProgress(time.Now(), w.gapLimit)
-	w.timer.Reset(w.gapLimit)
+	w.ended = true
+	w.timer.Stop()
+	return w.successor
+}
+
+// check runs when the timer fires. It calls the server silent if the limit has
+// passed, and replaces the attempt if that is due and possible.
+func (w *watchdog) check() {
+	if !w.replacementDue() {
+		return
+	}
+	next := w.request.secureSuccessor(w.ctx, w.tried)
+	if !w.handOver(next) {
+		w.request.releaseSuccessor(next)
+	}
 }
 
-// silence returns for how long the server has made no progress, and how late the
-// timer is.
-func (w *watchdog) silence(now time.Time) (silent, overdue time.Duration) {
+// replacementDue reports whether the attempt is to be replaced now. It sets the
+// timer for the next check.
+func (w *watchdog) replacementDue() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return now.Sub(w.progressAt), now.Sub(w.dueAt)
+	now := time.Now()
+	silent := now.Sub(w.progressAt)
+	switch {
+	case w.ended:
+		return false
+	case silent < w.limit:
+		w.timer.Reset(w.limit - silent)
+		return false
+	case !w.overdue:
+		w.overdue = true
+		w.timer.Reset(catchUpTime)
+		return false
+	case !w.reported:
+		w.reported = true
+		w.reservation.RecordStall(now)
+		w.request.logSilence(w.server, silent, silent-w.limit)
+	}
+	if !w.replaceable {
+		return false
+	}
+	w.timer.Reset(silenceCheckInterval)
+	return w.replaceAfter(now) <= silent && !w.request.relay.streams.migrating(w.request)
 }
 
-// stop ends the detection.
-func (w *watchdog) stop() { w.timer.Stop() }
+// replaceAfter returns how long the server may be silent before the attempt is
+// replaced. A request that is not a stream may run at two servers at once, and one
+// at an unreachable server has nothing to wait for.
+func (w *watchdog) replaceAfter(now time.Time) time.Duration {
+	if w.request.class.Kind != Stream || w.request.relay.balancer.Unreachable(now, w.server) {
+		return w.limit
+	}
+	return max(w.limit, maxHealthyPause)
+}
+
+// handOver gives up the attempt in favor of its successor, which may be nil. It
+// returns false if the attempt goes on or is over.
+func (w *watchdog) handOver(next *successor) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	silent := time.Since(w.progressAt)
+	if next == nil || w.ended || silent < w.limit {
+		return false
+	}
+	w.ended, w.successor = true, next
+	w.request.logReplacement(w.server, next.choice.Server, silent)
+	w.cancel(errStalled)
+	return true
+}
