Don't take a caller that reads slowly for a silent server

Cause: the watchdog of a stream ran on while the router waited to write to the caller. After the pause that the class tolerates it canceled the attempt, whose server had sent all along, and took a retry from the budget or cut the stream. Change: the watchdog stands still during a write. Tests can change a node's configuration. Conclusion: silence of the caller no longer ends an attempt.

--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -41,11 +41,12 @@
 		pending = pending[:len(pending)+n]
 		if complete := completeEventsLen(pending); complete > 0 {
 			reservation.RecordFirstEvent(time.Now())
-			watch.progress()
 			longest := p.longestGap
+			watch.stop() // A write may wait for the caller, which is not the server's silence.
 			if err := p.forward(response, pending[:complete]); err != nil {
 				return callerGone, err
 			}
+			watch.progress()
 			if p.longestGap > max(longest, p.class.TargetGap) {
 				p.gapBacklog = reservation.QueuedTokens()
 			}
--- a/router/relay/testnode_test.go
+++ b/router/relay/testnode_test.go
@@ -110,11 +110,17 @@
 // until the node is ready, unless the plan or the backends are missing.
 func startNode(t *testing.T, plan relay.Plan, handlers ...http.HandlerFunc) (*testNode, []*backend) {
 	t.Helper()
-	return startNodeWithMigrator(t, nil, plan, handlers...)
+	return startConfiguredNode(t, func(*relay.Config) {}, plan, handlers...)
 }
 
 // startNodeWithMigrator is startNode with a migrator.
 func startNodeWithMigrator(t *testing.T, m relay.Migrator, plan relay.Plan, handlers ...http.HandlerFunc) (*testNode, []*backend) {
+	t.Helper()
+	return startConfiguredNode(t, func(c *relay.Config) { c.Migrator = m }, plan, handlers...)
+}
+
+// startConfiguredNode is startNode with a configuration that a function changes.
+func startConfiguredNode(t *testing.T, configure func(*relay.Config), plan relay.Plan, handlers ...http.HandlerFunc) (*testNode, []*backend) {
 	t.Helper()
 	free := freeAddresses(t, loopbackHost(), 5)
 	r := &testNode{callerAddress: free[0], readinessAddress: free[1], operatorAddress: free[2]}
@@ -140,14 +146,16 @@
 		}})
 	}
 	r.servers.set(rows...)
-	node := relay.NewNode(relay.Config{
+	config := relay.Config{
 		VM: "vm", Zone: "zone", CallerAddress: r.callerAddress, ReadinessAddress: r.readinessAddress, ReadinessPath: "/ready", OperatorAddress: r.operatorAddress,
-		PeerAddress: netip.MustParseAddrPort(free[3]), DirectoryAddress: netip.MustParseAddrPort(free[4]), Codec: codec{}, Migrator: m, Plans: r.plans, Servers: r.servers, Clock: clock, Log: &r.log,
+		PeerAddress: netip.MustParseAddrPort(free[3]), DirectoryAddress: netip.MustParseAddrPort(free[4]), Codec: codec{}, Plans: r.plans, Servers: r.servers, Clock: clock, Log: &r.log,
 		MemoryBytes: memoryBytes,
 		Bounds: relay.Bounds{
 			MaxRevocationDelay: maxRevocationDelay, DrainTimeout: 50 * time.Millisecond, GracePeriod: time.Second, RetryRatio: 10, RetryWindow: 10 * time.Second,
 		},
-	})
+	}
+	configure(&config)
+	node := relay.NewNode(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
