Show that a stream is cut when each server was tried once

Cause: a server that was tried is never picked again for a request. A stream that broke off is cut when all servers were tried, though its own one would resume it.

--- /dev/null
+++ b/router/relay/endings_retry_test.go
@@ -0,0 +1,43 @@
+package relay_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"snipetally.example/router/relay"
+)
+
+// resumable returns a class of streams that can be resumed.
+func resumable(attempts int) relay.Class {
+	class := newClass("a", relay.Stream, attempts)
+	class.Resumable = true
+	return class
+}
+
+// rejectRequest answers that the request was not run.
+func rejectRequest(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(notExecutedHeader, "yes")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// inTurn serves the requests of all servers together: each handler serves one
+// request, and the last one all others.
+func inTurn(handlers ...http.HandlerFunc) http.HandlerFunc {
+	var served atomic.Int32
+	return func(w http.ResponseWriter, req *http.Request) {
+		handlers[min(int(served.Add(1)), len(handlers))-1](w, req)
+	}
+}
+
+// Guards against streams that are cut because every server was tried once: the
+// only one is sound again when the stream has to be resumed.
+func TestStreamResumesAtItsOwnServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, _ := startNode(t, newPlan(resumable(2)), inTurn(streamEvents(1, 2, false), streamEvents(1, 4, true)))
+	got := r.call(t, http.MethodPost, "/a/x", "")
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
+}
