Show that three rejections cut a stream that has begun

Cause: after three rejections a request is given up, also when its stream has begun and is cut by it.

--- a/router/relay/endings_retry_test.go
+++ b/router/relay/endings_retry_test.go
@@ -41,3 +41,14 @@
 	g.Expect(got.err).NotTo(gomega.HaveOccurred())
 	g.Expect(got.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
 }
+
+// Guards against streams that are cut because three servers were full: a fourth
+// one would resume the stream.
+func TestRejectionsDoNotCutABegunStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	handler := inTurn(streamEvents(1, 2, false), rejectRequest, rejectRequest, rejectRequest, streamEvents(1, 4, true))
+	r, _ := startNode(t, newPlan(resumable(2)), handler, handler, handler, handler, handler)
+	got := r.call(t, http.MethodPost, "/a/x", "")
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
+}
