Show that a response in progress counts as silent

Cause: only events of streams restart the watchdog. The body of another response may arrive all along and its attempt is canceled, and a second server runs the request.

--- a/router/relay/endings_retry_test.go
+++ b/router/relay/endings_retry_test.go
@@ -1,9 +1,11 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -52,3 +54,30 @@
 	g.Expect(got.err).NotTo(gomega.HaveOccurred())
 	g.Expect(got.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
 }
+
+// Guards against attempts that are given up as silent while their response
+// arrives.
+func TestResponseInProgressIsNotGivenUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		pieces = 30
+
+		// pieceInterval is far below the time after which a server counts as
+		// silent; the whole response takes far longer.
+		pieceInterval = 50 * time.Millisecond
+	)
+	slow := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(signedHeader, "yes")
+		for range pieces {
+			_, _ = fmt.Fprint(w, "x")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pieceInterval)
+		}
+	}
+	class := newClass("a", relay.Idempotent, 2)
+	class.TargetLatency = 200 * time.Millisecond
+	r, backends := startNode(t, newPlan(class), slow, slow)
+	got := r.call(t, http.MethodGet, "/a/x", "")
+	g.Expect(got.body).To(gomega.HaveLen(pieces))
+	g.Expect(totalArrived(backends)).To(gomega.Equal(1))
+}
