Show that attempts that send nothing use up the retry budget

Cause: each failed attempt takes a retry, also one whose server refused the connection or left before a byte was written. The budget limits what arrives at servers.

--- a/router/relay/endings_retry_test.go
+++ b/router/relay/endings_retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"snipetally.example/coordination/feed"
 	"snipetally.example/router/relay"
 )
 
@@ -81,3 +82,30 @@
 	g.Expect(got.body).To(gomega.HaveLen(pieces))
 	g.Expect(totalArrived(backends)).To(gomega.Equal(1))
 }
+
+// startTightNode starts a node whose budget allows one retry, with servers of
+// its own availability zone, which are preferred, and one of another zone.
+func startTightNode(t *testing.T, class relay.Class, near []string, far http.HandlerFunc) *testNode {
+	t.Helper()
+	r, backends := startConfiguredNode(t, func(c *relay.Config) { c.Bounds.RetryRatio = 0 }, newPlan(class), far)
+	rows := []feed.Change[relay.Server]{{Key: backends[0].id, Value: relay.Server{
+		ID: backends[0].id, Service: "s", Address: backends[0].server.Listener.Addr().String(), Slots: 4, Zone: "other",
+	}}}
+	for i, address := range near {
+		id := fmt.Sprint("near-", i)
+		rows = append(rows, feed.Change[relay.Server]{Key: id, Value: relay.Server{
+			ID: id, Service: "s", Address: address, Slots: 4, Zone: "zone",
+		}})
+	}
+	r.servers.set(rows...)
+	r.waitUntil(t, func() bool { return len(r.stateDump(t)["Servers"].([]any)) == len(rows) })
+	return r
+}
+
+// Guards against requests that are refused because attempts that sent nothing
+// used up the retry budget. The budget limits what arrives at servers.
+func TestUnsentAttemptTakesNoRetry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := startTightNode(t, newClass("a", relay.NonIdempotent, 1), freeAddresses(t, loopbackHost(), 2), respond("ok"))
+	g.Expect(r.call(t, http.MethodPost, "/a/x", "").body).To(gomega.Equal("ok"))
+}
