Show that retries are counted that find no server

Cause: the retry is taken from the budget before a server is chosen. Without one it is never made, and the next request lacks it.

--- a/router/relay/endings_retry_test.go
+++ b/router/relay/endings_retry_test.go
@@ -109,3 +109,23 @@
 	r := startTightNode(t, newClass("a", relay.NonIdempotent, 1), freeAddresses(t, loopbackHost(), 2), respond("ok"))
 	g.Expect(r.call(t, http.MethodPost, "/a/x", "").body).To(gomega.Equal("ok"))
 }
+
+// Guards against retries that are lost to other requests because they were
+// counted although there was no server for them.
+func TestRetryWithoutServerIsNotCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	handler := inTurn(closeConnection, closeConnection, respond("ok"))
+	r, backends := startConfiguredNode(t, func(c *relay.Config) { c.Bounds.RetryRatio = 0 },
+		newPlan(newClass("a", relay.Idempotent, 2)), handler)
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "").status).To(gomega.Equal(http.StatusBadGateway))
+	var rows []feed.Change[relay.Server]
+	for i := range 2 {
+		id := fmt.Sprint("server-", i)
+		rows = append(rows, feed.Change[relay.Server]{Key: id, Value: relay.Server{
+			ID: id, Service: "s", Address: backends[0].server.Listener.Addr().String(), Slots: 4,
+		}})
+	}
+	r.servers.set(rows...)
+	r.waitUntil(t, func() bool { return len(r.stateDump(t)["Servers"].([]any)) == len(rows) })
+	g.Expect(r.call(t, http.MethodGet, "/a/x", "").body).To(gomega.Equal("ok"))
+}
