Show that a request to a host that is silent for 1.8 s is lost

Cause: TCP_USER_TIMEOUT of 1.5 s gives up a connection on which bytes are not acknowledged, while callers wait for 2 s at least.

--- a/router/internal/hop/silence_test.go
+++ b/router/internal/hop/silence_test.go
@@ -59,3 +59,28 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(body).To(gomega.Equal("late"))
 }
+
+// Guards against requests that are lost because they were sent to a host that
+// was silent for 1.8 s. Callers wait for 2 s at least.
+func TestRequestOutlivesASilentHost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const silenceTime = 1800 * time.Millisecond
+	silent := make(chan struct{})
+	server := startTestServer(t, func(server *testServer, conn net.Conn, reader *bufio.Reader) {
+		server.readRequest(reader)
+		setDeaf(t, conn, true)
+		_, _ = io.WriteString(conn, encodeResponse("a", "first"))
+		close(silent)
+		time.Sleep(silenceTime)
+		setDeaf(t, conn, false)
+		server.readRequest(reader)
+		_, _ = io.WriteString(conn, encodeResponse("b", "late"))
+	})
+	pool := hop.NewPool(server.address)
+	_, err := send(t, pool, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	<-silent
+	body, err := send(t, pool, "b")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("late"))
+}
