Send a request on a new connection if a kept one took no byte of it

Cause: a kept connection that broke between its check and the first write counted as one on which the request may have run, so that a request that may run once got 502. Change: if the write accepted no byte, the request is sent on a new connection to the same server, after the server was checked again; on a new connection such a failure counts as not sent.

--- a/router/internal/hop/hop.go
+++ b/router/internal/hop/hop.go
@@ -26,6 +26,9 @@
 	// other exchanges.
 	ErrUnmatchedResponses = errors.ConstError("responses to other requests")
 
+	// errNotWritten means that no byte of the request was written.
+	errNotWritten = errors.ConstError("nothing written")
+
 	// maxUnmatchedResponses is the largest number of such responses that are
 	// skipped, and maxUnmatchedBytes is the length in bytes that the body of
 	// each must stay below.
@@ -75,17 +78,25 @@
 }
 
 // Send makes one exchange and returns when the head of the response has
-// arrived. The error is a *link.ExchangeError. When the context ends, the
-// connection is closed, even while the body is being read.
+// arrived. If a kept connection breaks before a byte is written, the request is
+// sent on a new one. The error is a *link.ExchangeError. When the context ends,
+// the connection is closed, even while the body is being read.
 func (p *Pool) Send(ctx context.Context, r Request) (*Response, error) {
-	c := p.get(time.Now())
-	if c == nil {
-		dialed, err := dial(ctx, p.address)
-		if err != nil {
-			return nil, &link.ExchangeError{Err: err}
+	if c := p.get(time.Now()); c != nil {
+		response, err := p.sendOn(ctx, c, r)
+		if !errors.Is(err, errNotWritten) || ctx.Err() != nil {
+			return response, err
 		}
-		c = dialed
 	}
+	c, err := dial(ctx, p.address)
+	if err != nil {
+		return nil, &link.ExchangeError{Err: err}
+	}
+	return p.sendOn(ctx, c, r)
+}
+
+// sendOn makes an exchange on a connection.
+func (p *Pool) sendOn(ctx context.Context, c *conn, r Request) (*Response, error) {
 	if r.BeforeWrite != nil {
 		if err := r.BeforeWrite(); err != nil {
 			_ = c.Close()
@@ -97,10 +108,11 @@
 	if err != nil {
 		stopCancel()
 		_ = c.Close()
+		maybeSent := !errors.Is(err, errNotWritten)
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		}
-		return nil, &link.ExchangeError{MaybeSent: true, Reused: c.reused, Err: err}
+		return nil, &link.ExchangeError{MaybeSent: maybeSent, Reused: c.reused, Err: err}
 	}
 	response.stopCancel = stopCancel
 	return response, nil
@@ -113,7 +125,10 @@
 	written := &atomic.Bool{}
 	head := encodeHead(r)
 	if len(head)+len(r.Body) <= maxSingleWrite {
-		if _, err := c.Write(append(head, r.Body...)); err != nil {
+		if n, err := c.Write(append(head, r.Body...)); err != nil {
+			if n == 0 {
+				return nil, fmt.Errorf("%w: %w", errNotWritten, err)
+			}
 			return nil, fmt.Errorf("write request: %w", err)
 		}
 		written.Store(true)
