Leave streams at a server whose entry is back

A server whose entry was missing for a moment had its runs stopped, and a migration that then failed cut streams that may not run again. Change: the list is looked at again before streams are migrated.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -34,7 +34,8 @@
 }
 
 // migrateStreams migrates streams off a server that drains or is gone, after a
-// delay in which short streams end.
+// delay in which short streams end. If the server accepts requests again by
+// then, as its entry was gone for a moment only, its streams stay.
 func (r *relay) migrateStreams(server Server) {
 	index := r.index.Load()
 	if index == nil || r.options.migrator == nil {
@@ -47,6 +48,9 @@
 	drain := r.bounds.Load().DrainTimeout
 	drainEnd := time.Now().Add(drain)
 	time.AfterFunc(time.Duration(migrationDelayFraction*float64(drain)), func() {
+		if r.acceptsAgain(server) {
+			return
+		}
 		for p, state := range r.streams.startedOn(server.ID) {
 			if !p.endsBefore(drainEnd, state, service.TokensPerEvent) {
 				go p.migrateFrom(server)
@@ -55,6 +59,13 @@
 	})
 }
 
+// acceptsAgain reports whether a server that was leaving is listed as accepting
+// requests in the same lifetime.
+func (r *relay) acceptsAgain(server Server) bool {
+	current, ok := (*r.servers.Load())[server.ID]
+	return ok && !current.Draining && current.sameLifetime(server)
+}
+
 // endsBefore reports whether a stream is expected to end before a time at its
 // pace so far. It returns false for a stream that is already longer than
 // expected, as the rest of it can't be estimated.
--- a/router/relay/migration_test.go
+++ b/router/relay/migration_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -25,6 +26,12 @@
 
 	stopped chan struct{}
 
+	// began receives the IDs of engines that have sent events.
+	began chan string
+
+	// resume serves requests that continue from a copy of a KV cache.
+	resume http.HandlerFunc
+
 	// continued receives the copies of KV caches that streams continued from.
 	continued chan string
 }
@@ -32,30 +39,51 @@
 // startMigrationNode starts a node and a stream. The migrator gets the node.
 func startMigrationNode(t *testing.T, migrate func(*migrationNode, relay.MigrationRequest) relay.KVCopy) *migrationNode {
 	t.Helper()
-	plan := newPlan(newClass("a", relay.Stream, 1))
+	n := newMigrationNode()
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		c.Migrator = migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
+			return migrate(n, request), nil
+		})
+	}, 2)
+	n.startStream(t)
+	return n
+}
+
+// newMigrationNode returns a migrationNode that is not started.
+func newMigrationNode() *migrationNode {
+	return &migrationNode{
+		end: make(chan reply, 1), stopped: make(chan struct{}), began: make(chan string, 1), continued: make(chan string, 1),
+		resume: streamEvents(1, 4, true),
+	}
+}
+
+// start starts the node with a class and a number of engines.
+func (n *migrationNode) start(t *testing.T, class relay.Class, configure func(*relay.Config), engines int) {
+	t.Helper()
+	plan := newPlan(class)
 	plan.Services[0] = relay.Service{Name: "s", Slots: 4, TokensPerEvent: 1, SupportsMigration: true}
-	n := &migrationNode{end: make(chan reply, 1), stopped: make(chan struct{}), continued: make(chan string, 1)}
-	began := make(chan string, 1)
 	engine := func(w http.ResponseWriter, req *http.Request) {
 		if c := req.Header.Get(kvCopyHeader); c != "" {
 			n.continued <- c
-			streamEvents(1, 4, true)(w, req)
+			n.resume(w, req)
 			return
 		}
 		w.Header().Set(signedHeader, "yes")
 		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 		_ = http.NewResponseController(w).Flush()
-		began <- req.Header.Get(instanceHeader)
+		n.began <- req.Header.Get(instanceHeader)
 		<-n.stopped
 		panic(http.ErrAbortHandler)
 	}
-	migrator := migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
-		return migrate(n, request), nil
-	})
-	n.testNode, n.backends = startNodeWithMigrator(t, migrator, plan, engine, engine)
+	handlers := slices.Repeat([]http.HandlerFunc{engine}, engines)
+	n.testNode, n.backends = startConfiguredNode(t, configure, plan, handlers...)
+}
+
+// startStream starts a stream and waits until an engine has sent events.
+func (n *migrationNode) startStream(t *testing.T) {
+	t.Helper()
 	go func() { n.end <- n.call(t, http.MethodPost, "/a/x", "") }()
-	n.source = <-began
-	return n
+	n.source = <-n.began
 }
 
 // drain lists all engines, with those as draining that a function selects.
--- a/router/relay/plan.go
+++ b/router/relay/plan.go
@@ -147,6 +147,12 @@
 	WarmupRemaining time.Duration
 }
 
+// sameLifetime reports whether two entries with the same ID are about one run of
+// a server's process.
+func (s Server) sameLifetime(other Server) bool {
+	return s.Address == other.Address && s.StartedAt.Equal(other.StartedAt)
+}
+
 // Bounds are the operator's limits on delays and retries that the router has to
 // keep. Operators may change them while the router runs.
 type Bounds struct {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -155,7 +155,7 @@
 	next := make(map[string]*backendServer, len(servers))
 	for id, s := range servers {
 		b, ok := old[id]
-		if !ok || b.Address != s.Address || !b.StartedAt.Equal(s.StartedAt) {
+		if !ok || !b.sameLifetime(s) {
 			b = &backendServer{pool: hop.NewPool(s.Address), usage: &serverUsage{}}
 		}
 		next[id] = &backendServer{Server: s, pool: b.pool, usage: b.usage}
--- a/router/relay/testnode_test.go
+++ b/router/relay/testnode_test.go
@@ -113,12 +113,6 @@
 	return startConfiguredNode(t, func(*relay.Config) {}, plan, handlers...)
 }
 
-// startNodeWithMigrator is startNode with a migrator.
-func startNodeWithMigrator(t *testing.T, m relay.Migrator, plan relay.Plan, handlers ...http.HandlerFunc) (*testNode, []*backend) {
-	t.Helper()
-	return startConfiguredNode(t, func(c *relay.Config) { c.Migrator = m }, plan, handlers...)
-}
-
 // startConfiguredNode is startNode with a configuration that a function changes.
 func startConfiguredNode(t *testing.T, configure func(*relay.Config), plan relay.Plan, handlers ...http.HandlerFunc) (*testNode, []*backend) {
 	t.Helper()
