--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -91,15 +91,6 @@
 // router that gives attempts up without a successor has done so by then.
 const afterSilence = 1800 * time.Millisecond
 
-// totalArrived returns the number of requests that arrived at all backends.
-func totalArrived(backends []*backend) int {
-	total := 0
-	for _, b := range backends {
-		total += int(b.arrived.Load())
-	}
-	return total
-}
-
 // Guards against requests that wait for a server that stays silent although
 // another one has room for them.
 func TestAttemptAtSilentServerIsReplaced(t *testing.T) {
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -66,6 +66,9 @@
 	progressAt time.Time
 	limit      time.Duration
 
+	// held says that the router does not wait for the server at present.
+	held bool
+
 	// overdue says that the limit has passed and the router is catching up;
 	// reported, that the silence has been reported.
 	overdue  bool
@@ -105,10 +108,19 @@
 	return max(gapFactor*p.class.TargetGap, gapFloor)
 }
 
+// hold records that the router does not wait for the server until the next
+// progress.
+func (w *watchdog) hold() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = true
+}
+
 // progress records that events have arrived.
 func (w *watchdog) progress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.held = false
 	w.progressAt, w.limit = time.Now(), w.request.gapLimit()
 	if w.overdue && !w.ended {
 		w.overdue, w.reported = false, false
@@ -148,6 +160,9 @@
 	switch {
 	case w.ended:
 		return false
+	case w.held:
+		w.timer.Reset(w.limit)
+		return false
 	case silent < w.limit:
 		w.timer.Reset(w.limit - silent)
 		return false
@@ -183,7 +198,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := time.Since(w.progressAt)
-	if next == nil || w.ended || silent < w.limit {
+	if next == nil || w.ended || w.held || silent < w.limit {
 		return false
 	}
 	w.ended, w.successor = true, next
