Keep connections to a host that is silent for a second or two

What callers saw: a request that may run only once got 502, and a stream that can't be resumed was cut, when the host of its server acknowledged nothing for a moment. Sent bytes had to be acknowledged within 1.5 s. With TCP_USER_TIMEOUT set, Linux drops an idle connection with an unanswered probe as soon as there was no input for that time, whatever the number of probes: with probes after 2 s of silence, one that got lost within a second was enough. Change: 3 s for sent bytes; the first probe after 1 s without input, the next ones each second. A host is now silent for at least 2 s before its connections are dropped. Ruled out: no TCP_USER_TIMEOUT (a connection that is silent for good would hold a request until its deadline). Conclusion: a silent host is told from a dead one after 2 to 3 s. Requests that may run again do not wait for that.

--- a/router/internal/hop/conn.go
+++ b/router/internal/hop/conn.go
@@ -20,13 +20,20 @@
 	// second.
 	dialTimeout = 300 * time.Millisecond
 
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as broken.
-	unackedTimeout = 1500 * time.Millisecond
+	// unresponsiveTimeout is how long the host of a server may acknowledge
+	// nothing, neither sent bytes nor keep-alive probes, before the connection
+	// counts as broken. A host that is silent for less may go on, and a request
+	// may run on it only once.
+	unresponsiveTimeout = 3 * time.Second
 
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	// keepAliveIdle is the time without input after which the first probe is
+	// sent. With unresponsiveTimeout set, Linux drops a connection with an
+	// unanswered probe as soon as there has been no input for that time,
+	// whatever the number of probes. The host has then been silent for at least
+	// two intervals. Other systems count the probes.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
 
 	// defaultIdleTime is how long an idle connection is kept if the server
 	// states no timeout. idleMargin is how much earlier than the server the
@@ -73,7 +80,7 @@
 func setUserTimeout(raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unresponsiveTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return fmt.Errorf("access socket: %w", err)
