Take a retry from the budget only with a place for it

What callers saw: 502 or a cut stream with 'retry budget used up', although the retries that were counted had reached no server. Cause: a failed attempt took a retry first, and the router looked for a server after that. Without a server the retry was spent, and others lost it. Change: a place at a server is reserved first, then the retry is taken, and the place is released if there is none. Failed, replaced and migrated attempts go on through the same step, which needs a place; retry.go has the loop, place.go the places.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -34,14 +34,6 @@
 	// maxBufferedBytes bounds the body of a response that is buffered
 	// completely before it is forwarded, in bytes.
 	maxBufferedBytes = 1 << 20
-
-	// maxRejections is the number of rejections by servers after which a
-	// request is given up.
-	maxRejections = 3
-
-	// minAttemptTime is the least time before the deadline that is worth
-	// another attempt.
-	minAttemptTime = 5 * time.Millisecond
 )
 
 // attemptResult is the result of an attempt at a backend server.
@@ -81,141 +73,22 @@
 	body   []byte
 }
 
-// runAttempts makes attempts until one is answered or the request is given up.
-func (p *proxiedRequest) runAttempts(ctx context.Context) {
-	defer p.dropMigration()
-	var next *successor
-	for {
-		reservation, ok := p.reserve(ctx, next)
-		if !ok {
-			return
-		}
-		var result attemptResult
-		var err error
-		result, next, err = p.attempt(ctx, reservation)
-		p.countAttempt(result)
-		switch {
-		case result == answered:
-			p.releaseSuccessor(next)
-			p.recordServed()
-			return
-		case result == callerGone, p.request.Context().Err() != nil:
-			p.releaseSuccessor(next)
-			p.abortAbandoned()
-			return
-		case next == nil:
-			next = p.awaitMigration(ctx)
-		}
-		if next != nil {
-			p.countRetry(true)
-			p.logRetry(result, err)
-			continue
-		}
-		if reason := p.stopReason(ctx); reason != "" {
-			p.logLastAttempt(result, err)
-			p.finishUnanswered(ctx, reason)
-			return
-		}
-		p.logRetry(result, err)
-	}
-}
-
-// reserve returns the reservation for the next attempt: that of a successor, or
-// one at a server that is chosen now. If there is none, it answers the request
-// and returns false.
-func (p *proxiedRequest) reserve(ctx context.Context, next *successor) (*placement.Reservation, bool) {
-	p.kvCopy = KVCopy{}
-	if next != nil {
-		p.kvCopy = next.kvCopy
-		p.recordChoice(next.choice, next.chosenAt, next.listAge)
-		return next.reservation, true
-	}
-	p.askLoads(ctx, p.tried)
-	reservation, choice, err := p.pick()
-	if err != nil {
-		p.handleNoServer(ctx, choice, err)
-		return nil, false
-	}
-	p.recordChoice(choice, time.Now(), p.relay.serversAge())
-	return reservation, true
-}
-
-// pick chooses a server that was not tried. A request that may have run can't be
-// refused, so if all servers were tried, another one than the last is tried again.
-func (p *proxiedRequest) pick() (*placement.Reservation, placement.Choice, error) {
-	reservation, choice, err := p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried)
-	if p.executions == 0 || !errors.Is(err, placement.ErrNoServer) {
-		return reservation, choice, err
-	}
-	return p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried[len(p.tried)-1:])
-}
-
-// recordChoice records the choice of a server for the next attempt, when it was
-// made, and the age that the list of servers had.
-func (p *proxiedRequest) recordChoice(choice placement.Choice, at time.Time, listAge time.Duration) {
-	p.choice, p.chosenAt, p.listAge = choice, at, listAge
-	p.tried = append(p.tried, choice.Server)
-	p.sendDelay = 0
-}
-
-// askLoads updates the loads of the engines that are considered for the request
-// after it was tried at some servers.
-func (p *proxiedRequest) askLoads(ctx context.Context, tried []string) {
-	ask := p.relay.options.askLoads
-	if ask == nil || p.class.Kind != Stream {
-		return
-	}
-	if servers := p.relay.balancer.Candidates(time.Now(), p.placementRequest, tried); len(servers) > 0 {
-		ask(ctx, servers)
-	}
-}
-
-// handleNoServer ends a request for which there is no server, or none that can
-// answer in time.
-func (p *proxiedRequest) handleNoServer(ctx context.Context, choice placement.Choice, err error) {
-	if errors.Is(err, placement.ErrBusy) && !p.headWritten && p.executions == 0 {
-		p.choice = choice
-		p.refuse(err.Error(), max(choice.ExcessWait, shortRetryDelay))
-		return
-	}
-	p.finishUnanswered(ctx, err.Error())
-}
-
-// stopReason returns why no further attempt is made, or an empty string. In the
-// latter case it takes a retry from the budget.
-func (p *proxiedRequest) stopReason(ctx context.Context) string {
-	switch {
-	case ctx.Err() != nil || time.Until(p.deadline) < minAttemptTime:
-		return "out of time"
-	case p.executions > 0 && !p.class.Retryable():
-		return "may have run"
-	case p.executions >= max(p.class.MaxAttempts, 1):
-		return "attempts used up"
-	case len(p.tried)-p.executions >= maxRejections:
-		return "rejected"
-	case !p.relay.retryBudget.Take(time.Now(), p.service):
-		p.countRetry(false)
-		return "retry budget used up"
-	}
-	p.countRetry(true)
-	return ""
-}
-
-// attempt sends the request to the chosen server and relays the response. It
+// attempt sends the request to the server of a place and relays the response. It
 // completes the reservation. If the attempt was given up as its server is silent,
 // it returns the place for the next one.
-func (p *proxiedRequest) attempt(ctx context.Context, reservation *placement.Reservation) (attemptResult, *successor, error) {
-	target, ok := (*p.relay.servers.Load())[p.choice.Server]
+func (p *proxiedRequest) attempt(ctx context.Context, at *place) (attemptResult, *place, error) {
+	p.recordChoice(at)
+	target, ok := (*p.relay.servers.Load())[at.choice.Server]
 	if !ok {
-		reservation.Done(time.Now(), placement.Canceled)
+		at.reservation.Done(time.Now(), placement.Canceled)
 		return notExecuted, nil, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p.relay.streams.add(p, target.ID)
 	defer p.relay.streams.remove(p)
-	watch := p.watch(ctx, target.ID, reservation, cancel)
-	result, err := p.exchange(ctx, target, reservation, watch)
+	watch := p.watch(ctx, target.ID, at.reservation, cancel)
+	result, err := p.exchange(ctx, target, at.reservation, watch)
 	return result, watch.finish(), err
 }
 
@@ -238,6 +111,13 @@
 	return result, err
 }
 
+// recordChoice records the choice of a server for the next attempt.
+func (p *proxiedRequest) recordChoice(at *place) {
+	p.choice, p.chosenAt, p.listAge, p.kvCopy = at.choice, at.chosenAt, at.listAge, at.kvCopy
+	p.tried = append(p.tried, at.choice.Server)
+	p.sendDelay = 0
+}
+
 // countExecution counts a run of the request. A run that was migrated counts once.
 func (p *proxiedRequest) countExecution() {
 	if p.kvCopy.Handle == "" {
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -24,9 +24,9 @@
 const errNotMigrated = errors.ConstError("run not migrated")
 
 // migrationResult is the result of a migration: the place where the run goes on,
-// or an error.
+// or an error. The place is never nil.
 type migrationResult struct {
-	successor
+	*place
 	err error
 }
 
@@ -105,11 +105,9 @@
 	r := p.relay
 	reservation, choice, err := r.balancer.Pick(time.Now(), p.placementRequest, []string{server.ID})
 	if err != nil {
-		return migrationResult{err: fmt.Errorf("%w: %w", errNotMigrated, err)}
-	}
-	migration := migrationResult{
-		successor: successor{reservation: reservation, choice: choice, chosenAt: time.Now(), listAge: r.serversAge()},
+		return migrationResult{place: &place{}, err: fmt.Errorf("%w: %w", errNotMigrated, err)}
 	}
+	migration := migrationResult{place: p.newPlace(reservation, choice)}
 	target, ok := (*r.servers.Load())[choice.Server]
 	if !ok {
 		reservation.Done(time.Now(), placement.Canceled)
@@ -127,7 +125,7 @@
 
 // awaitMigration returns the place where a run goes on that was migrated. It
 // returns nil if none was, or if the migration failed.
-func (p *proxiedRequest) awaitMigration(ctx context.Context) *successor {
+func (p *proxiedRequest) awaitMigration(ctx context.Context) *place {
 	results := p.relay.streams.takeMigration(p)
 	if results == nil {
 		return nil
@@ -137,7 +135,7 @@
 		if migration.err != nil {
 			return nil
 		}
-		return &migration.successor
+		return migration.place
 	case <-ctx.Done():
 		go discardMigration(results)
 		return nil
--- /dev/null
+++ b/router/relay/place.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"snipetally.example/router/internal/placement"
+)
+
+// place is what an attempt needs at a server: capacity that is reserved there,
+// and what was known when the server was chosen.
+type place struct {
+	reservation *placement.Reservation
+	choice      placement.Choice
+	chosenAt    time.Time
+
+	// listAge is the age of the list of servers when the server was chosen.
+	listAge time.Duration
+
+	// retryTakenAt is when a speculative retry was taken from the budget for it.
+	retryTakenAt time.Time
+
+	// kvCopy is the copy of the run's KV cache at the server, if the run was
+	// migrated.
+	kvCopy KVCopy
+}
+
+// newPlace returns a place that was reserved now.
+func (p *proxiedRequest) newPlace(reservation *placement.Reservation, choice placement.Choice) *place {
+	return &place{reservation: reservation, choice: choice, chosenAt: time.Now(), listAge: p.relay.serversAge()}
+}
+
+// secureReplacement reserves what an attempt needs that replaces one at a silent
+// server: a speculative retry in the budget, and a place at a server with room
+// that is not among those tried. It returns nil if one of them is missing or the
+// time is too short. It only reads fields of the request that don't change during
+// an attempt.
+func (p *proxiedRequest) secureReplacement(ctx context.Context, tried []string) *place {
+	r := p.relay
+	now := time.Now()
+	if !r.balancer.HasRoom(now, p.service, tried) || !r.retryBudget.TakeSpeculative(now, p.service) {
+		return nil
+	}
+	p.askLoads(ctx, tried)
+	reservation, choice, err := r.balancer.Pick(time.Now(), p.placementRequest, tried)
+	if err != nil {
+		r.retryBudget.ReturnSpeculative(now, p.service)
+		return nil
+	}
+	next := p.newPlace(reservation, choice)
+	next.retryTakenAt = now
+	if time.Until(p.deadline) < max(choice.ExpectedLatency, minAttemptTime) {
+		p.releasePlace(next)
+		return nil
+	}
+	return next
+}
+
+// releasePlace gives back what secureReplacement reserved for an attempt that is
+// not made. The place may be nil.
+func (p *proxiedRequest) releasePlace(unused *place) {
+	if unused == nil {
+		return
+	}
+	unused.reservation.Done(time.Now(), placement.Canceled)
+	p.relay.retryBudget.ReturnSpeculative(unused.retryTakenAt, p.service)
+}
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -98,6 +98,10 @@
 	// migrated.
 	kvCopy KVCopy
 
+	// retryAfter is how much later the caller is asked to retry if the request is
+	// refused for lack of a server.
+	retryAfter time.Duration
+
 	// fallback is the error response of a server that ran the request. It is
 	// sent if no other server gives a better response.
 	fallback *bufferedResponse
@@ -288,6 +292,7 @@
 		timeout = defaultTimeout
 	}
 	p.deadline = p.arrivedAt.Add(timeout)
+	p.retryAfter = shortRetryDelay
 	p.rank = p.index.ranks[priorityOf(p.class, p.team)]
 	p.service = pickService(p.class.Splits)
 	p.lastEventID = p.request.Header.Get("Last-Event-Id")
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -132,7 +132,7 @@
 		p.logUnserved(0, "truncated: "+reason)
 		panic(http.ErrAbortHandler) // Closes the connection, so that the response does not look complete.
 	case p.executions == 0:
-		p.refuse(reason, shortRetryDelay)
+		p.refuse(reason, p.retryAfter)
 	case p.fallback != nil:
 		p.writeFallback(reason)
 	case ctx.Err() != nil:
--- /dev/null
+++ b/router/relay/retry.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/placement"
+)
+
+const (
+	// maxRejections is the number of rejections by servers after which a request
+	// is given up.
+	maxRejections = 3
+
+	// minAttemptTime is the least time before the deadline that is worth
+	// another attempt.
+	minAttemptTime = 5 * time.Millisecond
+)
+
+// runAttempts makes attempts until one is answered or the request is given up.
+func (p *proxiedRequest) runAttempts(ctx context.Context) {
+	defer p.dropMigration()
+	next, err := p.choosePlace(ctx)
+	if err != nil {
+		p.finishUnanswered(ctx, err.Error())
+		return
+	}
+	for next != nil {
+		result, replacement, err := p.attempt(ctx, next)
+		p.countAttempt(result)
+		switch {
+		case result == answered:
+			p.releasePlace(replacement)
+			p.recordServed()
+			return
+		case result == callerGone, p.request.Context().Err() != nil:
+			p.releasePlace(replacement)
+			p.abortAbandoned()
+			return
+		}
+		next = p.placeAfter(ctx, result, replacement, err)
+	}
+}
+
+// placeAfter returns the place for the next attempt after one that failed or was
+// replaced. If there is none, it answers the request and returns nil.
+func (p *proxiedRequest) placeAfter(ctx context.Context, result attemptResult, replacement *place, err error) *place {
+	next, reason := replacement, ""
+	if next == nil {
+		next = p.awaitMigration(ctx)
+	}
+	if next == nil {
+		next, reason = p.retry(ctx)
+	}
+	if next == nil {
+		p.logLastAttempt(result, err)
+		p.finishUnanswered(ctx, reason)
+		return nil
+	}
+	p.countRetry(true)
+	p.logRetry(result, err)
+	return next
+}
+
+// retry returns a place for an attempt after one that failed, or the reason why
+// there is none. It takes a retry from the budget, which limits what arrives at
+// servers, only once it has a place.
+func (p *proxiedRequest) retry(ctx context.Context) (*place, string) {
+	if reason := p.stopReason(ctx); reason != "" {
+		return nil, reason
+	}
+	next, err := p.choosePlace(ctx)
+	if err != nil {
+		return nil, err.Error()
+	}
+	if !p.relay.retryBudget.Take(time.Now(), p.service) {
+		next.reservation.Done(time.Now(), placement.Canceled)
+		p.countRetry(false)
+		return nil, "retry budget used up"
+	}
+	return next, ""
+}
+
+// stopReason returns why no further attempt may be made, or an empty string.
+func (p *proxiedRequest) stopReason(ctx context.Context) string {
+	switch {
+	case ctx.Err() != nil || time.Until(p.deadline) < minAttemptTime:
+		return "out of time"
+	case p.executions > 0 && !p.class.Retryable():
+		return "may have run"
+	case p.executions >= max(p.class.MaxAttempts, 1):
+		return "attempts used up"
+	case len(p.tried)-p.executions >= maxRejections:
+		return "rejected"
+	}
+	return ""
+}
+
+// choosePlace reserves a place at a server that was not tried. If all servers were
+// tried, a request that may have run goes to another one than the last again. The error says
+// why there is no place; if all servers are busy, it sets how much later the
+// caller is asked to retry.
+func (p *proxiedRequest) choosePlace(ctx context.Context) (*place, error) {
+	p.askLoads(ctx, p.tried)
+	reservation, choice, err := p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried)
+	if p.executions > 0 && errors.Is(err, placement.ErrNoServer) {
+		reservation, choice, err = p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried[len(p.tried)-1:])
+	}
+	if err != nil {
+		if errors.Is(err, placement.ErrBusy) {
+			p.choice, p.retryAfter = choice, max(choice.ExcessWait, shortRetryDelay)
+		}
+		return nil, err
+	}
+	return p.newPlace(reservation, choice), nil
+}
+
+// askLoads updates the loads of the engines that are considered for the request
+// after it was tried at some servers.
+func (p *proxiedRequest) askLoads(ctx context.Context, tried []string) {
+	ask := p.relay.options.askLoads
+	if ask == nil || p.class.Kind != Stream {
+		return
+	}
+	if servers := p.relay.balancer.Candidates(time.Now(), p.placementRequest, tried); len(servers) > 0 {
+		ask(ctx, servers)
+	}
+}
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -40,8 +40,8 @@
 // watchdog watches an attempt for silence of its server. Silence is no failure,
 // as a healthy server may stand still for a moment and go on. The watchdog
 // reports it to the balancer at once, so that other requests avoid the server,
-// but it ends the attempt only when it has secured a successor. An attempt
-// without one goes on until its server fails or the time is over.
+// but it ends the attempt only when it has secured a place for another one. Without
+// that the attempt goes on until its server fails or the time is over.
 type watchdog struct {
 	request     *proxiedRequest
 	server      string
@@ -74,10 +74,10 @@
 	overdue  bool
 	reported bool
 
-	// ended says that the attempt is over or has been given up. successor is the
-	// place for the next attempt in the latter case.
-	ended     bool
-	successor *successor
+	// ended says that the attempt is over or has been given up. replacement is
+	// the place for the next attempt in the latter case.
+	ended       bool
+	replacement *place
 }
 
 // watch starts a watchdog for an attempt at a server.
@@ -130,12 +130,12 @@
 
 // finish ends the watch. It returns the place for the next attempt if this one was
 // given up, which the caller has to use or to release.
-func (w *watchdog) finish() *successor {
+func (w *watchdog) finish() *place {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
-	return w.successor
+	return w.replacement
 }
 
 // check runs when the timer fires. It calls the server silent if the limit has
@@ -144,9 +144,9 @@
 	if !w.replacementDue() {
 		return
 	}
-	next := w.request.secureSuccessor(w.ctx, w.tried)
+	next := w.request.secureReplacement(w.ctx, w.tried)
 	if !w.handOver(next) {
-		w.request.releaseSuccessor(next)
+		w.request.releasePlace(next)
 	}
 }
 
@@ -192,16 +192,16 @@
 	return max(w.limit, maxHealthyPause)
 }
 
-// handOver gives up the attempt in favor of its successor, which may be nil. It
+// handOver gives up the attempt for one at another place, which may be nil. It
 // returns false if the attempt goes on or is over.
-func (w *watchdog) handOver(next *successor) bool {
+func (w *watchdog) handOver(next *place) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := time.Since(w.progressAt)
 	if next == nil || w.ended || w.held || silent < w.limit {
 		return false
 	}
-	w.ended, w.successor = true, next
+	w.ended, w.replacement = true, next
 	w.request.logReplacement(w.server, next.choice.Server, silent)
 	w.cancel(errStalled)
 	return true
