Take no retry for an attempt that sent nothing

What callers saw: 503 with 'retry budget used up' although servers were free. Cause: an attempt that could not connect, or whose server began to leave before the first byte, took a retry like one that had run. The budget limits what arrives at servers, and nothing had. Change: such an attempt has a result of its own, unsent, in logs and metrics; the next one goes on with the retry of the last. The limit on rejections still bounds them.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -47,6 +47,9 @@
 	// will.
 	notExecuted
 
+	// notSent means that no byte of the request reached the server.
+	notSent
+
 	// incomplete means that the request may have run and the caller has no
 	// complete response.
 	incomplete
@@ -61,7 +64,7 @@
 
 // resultNames are the names of the results in logs and metrics, in the order of
 // the constants.
-var resultNames = [...]string{"answered", "unexecuted", "broken", "failing", "gone"}
+var resultNames = [...]string{"answered", "unexecuted", "unsent", "broken", "failing", "gone"}
 
 // String returns the name for logs.
 func (r attemptResult) String() string { return resultNames[r] }
@@ -81,7 +84,7 @@
 	target, ok := (*p.relay.servers.Load())[at.choice.Server]
 	if !ok {
 		at.reservation.Done(time.Now(), placement.Canceled)
-		return notExecuted, nil, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
+		return notSent, nil, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -141,7 +144,7 @@
 			return placement.Canceled
 		}
 		return placement.Failed
-	case callerGone:
+	case notSent, callerGone:
 	}
 	return placement.Canceled
 }
@@ -165,7 +168,7 @@
 		target.pool.CloseIdle()
 	}
 	if !maybeSent {
-		return notExecuted, err
+		return notSent, err
 	}
 	p.countExecution()
 	return incomplete, err
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxRejections is the number of rejections by servers after which a request
-	// is given up.
+	// maxRejections is the number of servers without room, or that could not be
+	// reached, after which a request that has not run is refused.
 	maxRejections = 3
 
 	// minAttemptTime is the least time before the deadline that is worth
@@ -52,7 +52,7 @@
 		next = p.awaitMigration(ctx)
 	}
 	if next == nil {
-		next, reason = p.retry(ctx)
+		next, reason = p.retry(ctx, result)
 	}
 	if next == nil {
 		p.logLastAttempt(result, err)
@@ -66,8 +66,8 @@
 
 // retry returns a place for an attempt after one that failed, or the reason why
 // there is none. It takes a retry from the budget, which limits what arrives at
-// servers, only once it has a place.
-func (p *proxiedRequest) retry(ctx context.Context) (*place, string) {
+// servers, only once it has a place and if the last attempt has sent something.
+func (p *proxiedRequest) retry(ctx context.Context, last attemptResult) (*place, string) {
 	if reason := p.stopReason(ctx); reason != "" {
 		return nil, reason
 	}
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err.Error()
 	}
-	if !p.relay.retryBudget.Take(time.Now(), p.service) {
+	if last != notSent && !p.relay.retryBudget.Take(time.Now(), p.service) {
 		next.reservation.Done(time.Now(), placement.Canceled)
 		p.countRetry(false)
 		return nil, "retry budget used up"
