Count every byte of a response as progress

What callers saw: a second run of a request whose response was on its way, and 502 if there was no place for it. Cause: the watchdog counted complete events of streams only. A response that is no stream, and arrives in pieces, never made progress; neither did a large event. Change: each read of a response tells the watchdog that the router waits for the server, and what has arrived. While the router writes to the caller it waits for nothing, so that holding the watchdog needs no calls of its own.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -225,7 +225,7 @@
 	case success && p.class.Kind == Stream:
 		return p.relayStream(response, reservation, watch)
 	}
-	buffered, err := bufferResponse(response)
+	buffered, err := bufferResponse(response, watch)
 	if err != nil {
 		if info.NotExecuted {
 			return notExecuted, nil
@@ -248,9 +248,9 @@
 }
 
 // bufferResponse reads a response to its end.
-func bufferResponse(response *hop.Response) (*bufferedResponse, error) {
+func bufferResponse(response *hop.Response, watch *watchdog) (*bufferedResponse, error) {
 	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(response, maxBufferedBytes+1))
+	n, err := io.Copy(&body, io.LimitReader(watchedReader{response: response, watch: watch}, maxBufferedBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errTruncated, err)
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -29,6 +29,7 @@
 // relayStream forwards events as they arrive. Only complete events are sent to
 // the caller, so that another server can resume after the last one.
 func (p *proxiedRequest) relayStream(response *hop.Response, reservation *placement.Reservation, watch *watchdog) (attemptResult, error) {
+	body := watchedReader{response: response, watch: watch}
 	pending := make([]byte, 0, streamBufferSize)
 	for {
 		if len(pending) == cap(pending) {
@@ -37,16 +38,14 @@
 			}
 			pending = append(pending, make([]byte, len(pending))...)[:len(pending)]
 		}
-		n, err := response.Read(pending[len(pending):cap(pending)])
+		n, err := body.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
 		if complete := completeEventsLen(pending); complete > 0 {
 			reservation.RecordFirstEvent(time.Now())
 			longest := p.longestGap
-			watch.hold() // A write may wait for the caller, which is not the server's silence.
 			if err := p.forward(response, pending[:complete]); err != nil {
 				return callerGone, err
 			}
-			watch.progress()
 			if p.longestGap > max(longest, p.class.TargetGap) {
 				p.gapBacklog = reservation.QueuedTokens()
 			}
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -61,14 +62,17 @@
 	mu    sync.Mutex
 	timer *time.Timer
 
-	// progressAt is when the server last made progress, and limit how long it may
-	// take for the next.
+	// waiting says that the router waits for the server. It does not while it
+	// writes to the caller, who may read slowly. begun says that the response has
+	// begun to arrive.
+	waiting bool
+	begun   bool
+
+	// progressAt is when the server last made progress or the router began to wait
+	// for it, whichever is later, and limit how long it may take from then.
 	progressAt time.Time
 	limit      time.Duration
 
-	// held says that the router does not wait for the server at present.
-	held bool
-
 	// overdue says that the limit has passed and the router is catching up;
 	// reported, that the silence has been reported.
 	overdue  bool
@@ -90,6 +94,7 @@
 		cancel:      cancel,
 		replaceable: p.class.Retryable() && p.executions+1 < max(p.class.MaxAttempts, 1),
 		tried:       append([]string(nil), p.tried...),
+		waiting:     true,
 		progressAt:  time.Now(),
 		limit:       max(stallFactor*reservation.ExpectedLatency(), stallTargetFactor*p.class.TargetLatency),
 	}
@@ -108,26 +113,46 @@
 	return max(gapFactor*p.class.TargetGap, gapFloor)
 }
 
-// hold records that the router does not wait for the server until the next
-// progress.
-func (w *watchdog) hold() {
+// await records that the router waits for the server.
+func (w *watchdog) await() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.held = true
+	w.waiting = true
+	if !w.begun {
+		return
+	}
+	w.progressAt = time.Now()
+	if w.overdue && !w.ended {
+		w.overdue, w.reported = false, false
+		w.timer.Reset(w.limit)
+	}
 }
 
-// progress records that events have arrived.
-func (w *watchdog) progress() {
+// received records that n bytes of the response have arrived.
+func (w *watchdog) received(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.held = false
-	w.progressAt, w.limit = time.Now(), w.request.gapLimit()
-	if w.overdue && !w.ended {
-		w.overdue, w.reported = false, false
-		w.timer.Reset(w.limit)
+	w.waiting = false
+	if n > 0 {
+		w.begun = true
+		w.limit = w.request.gapLimit()
 	}
 }
 
+// watchedReader reads a response under a watchdog.
+type watchedReader struct {
+	response io.Reader
+	watch    *watchdog
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(b []byte) (int, error) {
+	r.watch.await()
+	n, err := r.response.Read(b)
+	r.watch.received(n)
+	return n, err //nolint:wrapcheck // The caller sees what the response returns.
+}
+
 // finish ends the watch. It returns the place for the next attempt if this one was
 // given up, which the caller has to use or to release.
 func (w *watchdog) finish() *place {
@@ -160,7 +185,7 @@
 	switch {
 	case w.ended:
 		return false
-	case w.held:
+	case !w.waiting:
 		w.timer.Reset(w.limit)
 		return false
 	case silent < w.limit:
@@ -198,7 +223,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := time.Since(w.progressAt)
-	if next == nil || w.ended || w.held || silent < w.limit {
+	if next == nil || w.ended || !w.waiting || silent < w.limit {
 		return false
 	}
 	w.ended, w.replacement = true, next
