Don't give up a run for reasons that only hold before it

What callers saw: a stream cut in the middle although a server could have resumed it: when each server had been tried once, when three of them were full, or when admission control refused what had been admitted before. Cause: a request that has not run can be refused, and the caller comes back. The same limits applied to one that has run, which is lost if it is given up. Change: such a request is not refused by admission control, goes to servers that it was tried at before if there is no other one, after a pause of 0.1 s, and is given up after eight rejections. Budget, attempts of the class and deadline bind as before.

--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -254,7 +254,7 @@
 	} else {
 		chosen, best = svc.choosePlain(now, &req, candidates, b.zone)
 	}
-	if chosen.Engine && svc.shouldRefuse(chosen, &req, &best) {
+	if chosen.Engine && !req.Admitted && svc.shouldRefuse(chosen, &req, &best) {
 		svc.recordDemand(now, &req, best.Cached)
 		return nil, best, ErrBusy
 	}
--- a/router/internal/placement/request.go
+++ b/router/internal/placement/request.go
@@ -45,6 +45,10 @@
 	// with lower numbers first; 0 is the first.
 	Priority int
 
+	// Admitted says that the request was admitted before and may have run, so that
+	// it is never refused.
+	Admitted bool
+
 	// Draw is a random number, drawn once for a request. It decides between
 	// equal servers, so that repeated choices for a request consider the same
 	// ones.
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -14,6 +14,14 @@
 	// reached, after which a request that has not run is refused.
 	maxRejections = 3
 
+	// maxRejectionsAfterRun is the same for a request that may have run. It can't
+	// be refused, so that giving it up loses it.
+	maxRejectionsAfterRun = 8
+
+	// retriedServerDelay is how long a request waits before it goes to a server
+	// that it was tried at before.
+	retriedServerDelay = 100 * time.Millisecond
+
 	// minAttemptTime is the least time before the deadline that is worth
 	// another attempt.
 	minAttemptTime = 5 * time.Millisecond
@@ -85,6 +93,10 @@
 
 // stopReason returns why no further attempt may be made, or an empty string.
 func (p *proxiedRequest) stopReason(ctx context.Context) string {
+	limit := maxRejections
+	if p.executions > 0 {
+		limit = maxRejectionsAfterRun
+	}
 	switch {
 	case ctx.Err() != nil || time.Until(p.deadline) < minAttemptTime:
 		return "out of time"
@@ -92,21 +104,24 @@
 		return "may have run"
 	case p.executions >= max(p.class.MaxAttempts, 1):
 		return "attempts used up"
-	case len(p.tried)-p.executions >= maxRejections:
+	case len(p.tried)-p.executions >= limit:
 		return "rejected"
 	}
 	return ""
 }
 
 // choosePlace reserves a place at a server that was not tried. If all servers were
-// tried, a request that may have run goes to another one than the last again. The error says
+// tried, a request that may have run goes to one of them again. The error says
 // why there is no place; if all servers are busy, it sets how much later the
 // caller is asked to retry.
 func (p *proxiedRequest) choosePlace(ctx context.Context) (*place, error) {
+	request := p.placementRequest
+	request.Admitted = p.executions > 0
 	p.askLoads(ctx, p.tried)
-	reservation, choice, err := p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried)
+	reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, p.tried)
 	if p.executions > 0 && errors.Is(err, placement.ErrNoServer) {
-		reservation, choice, err = p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried[len(p.tried)-1:])
+		sleep(ctx, retriedServerDelay)
+		reservation, choice, err = p.relay.balancer.Pick(time.Now(), request, nil)
 	}
 	if err != nil {
 		if errors.Is(err, placement.ErrBusy) {
