Use a part of the retries beyond the ratio that all routers may send

Cause: the platform allows retries beyond the ratio, for all routers together, and the budget knew of none. So it used no more than the ratio where little more was needed, as when one engine dies at 8 routers. Where all routers need all that they may send, they exceeded the bound at 400: each counts a window of its own, which ends when its requests are many, and each may always do one retry. Change: Budget.SetExtra takes the extra, and a function for the largest number of routers that were heard. A router allows ratio * (requests - sqrt(requests)) and extra / 2 / routers. The second part is zero until the number has not grown for a window. No retry is always allowed then. Without an extra all is as before. The bound is also kept at all four sizes by tests in which all routers start, one restarts, or one half restarts while it can't hear the other. The price is a rarely used service where the extra is less than two for each router: its requests have no retry.

--- a/router/internal/retrybudget/budget.go
+++ b/router/internal/retrybudget/budget.go
@@ -1,9 +1,26 @@
 // Package retrybudget limits retries, which send a request to a second backend server.
 // Each router limits its retries to a ratio of the requests that it received
-// itself, so all routers together stay within the ratio without coordination.
+// itself, so that all routers together stay within the ratio without coordination.
+//
+// The bound of all routers may have an extra beyond the ratio. A router uses a part
+// of it by the number of routers that it has heard of, which is never more than
+// there are but may be less, for two reasons:
+//
+//   - A router that has started recently has not heard of all. So the part is zero
+//     until the number has not grown for a window.
+//   - A partition hides routers from those that start while it lasts. So the number
+//     is the largest since the start of the process, and the parts add up to half of
+//     the extra. Routers that knew all before use half of it at most, and so do all
+//     those together that start on one side. On the other side none can serve, as
+//     a router needs the table of the plan to start.
+//
+// The windows of the routers end at different times, each when its own requests are
+// many. For requests at random times that raises the sum by about a standard
+// deviation of each router's number, which is taken off in turn.
 package retrybudget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -19,6 +36,10 @@
 	// SpeculativeFraction is the fraction of the allowed retries of a window that
 	// may be speculative.
 	SpeculativeFraction = 0.5
+
+	// extraFraction is the fraction of the extra that the parts of all routers add
+	// up to if each has heard of all others.
+	extraFraction = 0.5
 )
 
 // Budget counts requests and retries by service in a sliding window. Its methods
@@ -36,9 +57,16 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	ratio   float64
+	extra   float64
+	routers RouterCount
 	windows map[string]*slidingWindow
 }
 
+// RouterCount returns the largest number of routers, with this one, that were heard
+// at the same time since the process started, and when that number last grew. The
+// number is zero if no other router was heard. It must not call the budget.
+type RouterCount func() (routers int, grownAt time.Time)
+
 // slidingWindow holds the counts of the last buckets. Bucket n is stored at index
 // n%bucketCount.
 type slidingWindow struct {
@@ -66,6 +94,15 @@
 	b.ratio = ratio
 }
 
+// SetExtra changes the number of retries beyond the ratio that all routers together
+// may send in a window. Zero means that no such bound is known; each router then
+// stays within the ratio, but may always do one retry in a window.
+func (b *Budget) SetExtra(extra float64, routers RouterCount) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.extra, b.routers = extra, routers
+}
+
 // RecordRequest counts a caller's request for a service.
 func (b *Budget) RecordRequest(now time.Time, service string) {
 	b.mu.Lock()
@@ -75,14 +112,15 @@
 }
 
 // Take consumes one retry after a failure and reports whether one was available.
-// It always allows one in a window, since a router with few requests would
-// otherwise have none.
+// Without an extra it always allows one in a window, since a router with few
+// requests would otherwise have none.
 func (b *Budget) Take(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
 	requests, retries, _ := w.totals()
-	if retries > 0 && float64(retries+1) > b.ratio*float64(requests) {
+	exempt := b.extra == 0 && retries == 0
+	if !exempt && float64(retries+1) > b.allowed(now, requests) {
 		return false
 	}
 	w.retries[w.current%bucketCount]++
@@ -90,13 +128,13 @@
 }
 
 // TakeSpeculative consumes one speculative retry and reports whether one was
-// available. Unlike Take it allows none beyond the ratio.
+// available. There is none that is always allowed.
 func (b *Budget) TakeSpeculative(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
 	requests, retries, speculative := w.totals()
-	allowed := b.ratio * float64(requests)
+	allowed := b.allowed(now, requests)
 	if float64(retries+1) > allowed || float64(speculative+1) > SpeculativeFraction*allowed {
 		return false
 	}
@@ -105,6 +143,20 @@
 	return true
 }
 
+// allowed returns the number of retries that this router may send in a window with
+// a number of requests. The caller must hold b.mu.
+func (b *Budget) allowed(now time.Time, requests int) float64 {
+	n := float64(requests)
+	if b.extra == 0 {
+		return b.ratio * n
+	}
+	part := 0.0
+	if routers, grownAt := b.routers(); routers > 0 && now.Sub(grownAt) > b.windowLength {
+		part = extraFraction * b.extra / float64(routers)
+	}
+	return b.ratio*(n-math.Sqrt(n)) + part
+}
+
 // Return gives back a retry that Take allowed and that was not sent. takenAt is
 // the time that was passed to Take.
 func (b *Budget) Return(takenAt time.Time, service string) {
--- a/router/internal/retrybudget/budget_test.go
+++ b/router/internal/retrybudget/budget_test.go
@@ -228,3 +228,22 @@
 	g.Expect(speculative).To(gomega.Equal(10))
 	g.Expect(failures).To(gomega.Equal(10))
 }
+
+// TestPartOfTheExtraIsByTheRoutersHeard checks a router's part of the extra, which
+// it has once the number of routers has not grown for a window.
+func TestPartOfTheExtraIsByTheRoutersHeard(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := retrybudget.NewBudget(ratio, windowLength)
+	start := time.Now()
+	routers, grownAt := 0, time.Time{}
+	budget.SetExtra(16, func() (int, time.Time) { return routers, grownAt })
+	g.Expect(budget.Take(start, "s")).To(gomega.BeFalse(), "no other router heard")
+	routers, grownAt = 4, start
+	g.Expect(budget.Take(start.Add(windowLength), "s")).To(gomega.BeFalse(), "number grown within a window")
+	later := start.Add(windowLength + 1)
+	g.Expect(budget.Take(later, "s")).To(gomega.BeTrue())
+	g.Expect(budget.Take(later, "s")).To(gomega.BeTrue())
+	g.Expect(budget.Take(later, "s")).To(gomega.BeFalse(), "half of the extra shared by four routers")
+	budget.SetExtra(0, nil)
+	g.Expect(budget.Take(later, "other")).To(gomega.BeTrue(), "one retry is always allowed without an extra")
+}
--- /dev/null
+++ b/router/internal/retrybudget/fleet_test.go
@@ -0,0 +1,588 @@
+package retrybudget_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"snipetally.example/router/internal/retrybudget"
+)
+
+const (
+	// meanDuration is the mean time of a run at an engine. silenceLimit is the
+	// silence after which a request may be sent elsewhere, and pauseLength how long
+	// an engine that pauses is silent.
+	meanDuration = 8 * time.Second
+	silenceLimit = 800 * time.Millisecond
+	pauseLength  = 1500 * time.Millisecond
+
+	// suspension is how long a router avoids an engine at which it had a failure,
+	// and removal the time until an engine that died is off the list.
+	suspension = time.Second
+	removal    = 4 * time.Second
+
+	// discoveryTime is the time that a router takes to hear of all others, and
+	// countInterval the time between two counts of those that it has heard.
+	discoveryTime = 6 * time.Second
+	countInterval = 500 * time.Millisecond
+
+	// attemptLimit is the number of servers that may get a request.
+	attemptLimit = 3
+
+	// warmup is the time before a trouble, and observed the time after its start
+	// until a simulation ends. Engines that fail and come back fail for outage.
+	warmup   = 20 * time.Second
+	observed = 15 * time.Second
+	outage   = 10 * time.Second
+)
+
+// fleetSize is the size of an installation.
+type fleetSize struct {
+	routers   int
+	engines   int
+	perSecond float64
+
+	// services is the number of services. The k-th of them gets requests and
+	// engines in proportion to 1/k.
+	services int
+
+	// extra is the number of retries that all routers together may send in a window
+	// beyond the ratio.
+	extra int
+
+	// runs is the number of runs whose mean is printed as figures.
+	runs int
+}
+
+// trouble is what happens to the engines.
+type trouble string
+
+const (
+	onePauses trouble = "one engine pauses"
+	oneDies   trouble = "one engine dies"
+	allPause  trouble = "all engines pause"
+	allFail   trouble = "all engines fail"
+)
+
+// simRequest is a request and its attempt in progress.
+type simRequest struct {
+	router, service int
+	executions      int
+	tried           []*simEngine
+
+	// engine is where the attempt runs, index its place among the runs there, and
+	// endsAt when it ends unless the engine pauses or dies.
+	engine *simEngine
+	index  int
+	endsAt time.Time
+}
+
+// simEngine is an engine and its runs in progress.
+type simEngine struct {
+	service     int
+	running     []*simRequest
+	pausedUntil time.Time
+	failsUntil  time.Time
+	removed     bool
+}
+
+// simEvent is an event of the simulation.
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+// simEvents is a heap of events by time.
+type simEvents []simEvent
+
+func (e simEvents) Len() int           { return len(e) }
+func (e simEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)        { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// simRouter is a router.
+type simRouter struct {
+	budget    *retrybudget.Budget
+	startedAt time.Time
+
+	// side is the side of a partition, and mostRouters the largest number of routers
+	// that were heard, with this one, which last grew at grownAt.
+	side        int
+	mostRouters int
+	grownAt     time.Time
+}
+
+// fleetTally counts what the routers did since the start of a trouble.
+type fleetTally struct {
+	// struck counts the attempts that failed or fell silent, retries and
+	// replacements what was sent after a failure and for a silent attempt.
+	struck       int
+	retries      int
+	replacements int
+
+	// withoutBudget counts the failed attempts for which there was no retry, and
+	// keptWaiting the silent ones that were not replaced and went on.
+	withoutBudget int
+	keptWaiting   int
+}
+
+// fleet simulates the routers of an installation, each with a budget of its own,
+// in front of engines that pause and fail.
+type fleet struct {
+	size    fleetSize
+	random  *rand.Rand
+	now     time.Time
+	pending simEvents
+
+	rules routerRules
+
+	routers   []*simRouter
+	engines   []*simEngine
+	byService [][]*simEngine
+	suspended map[suspendedEngine]time.Time
+	requests  [][]time.Time
+	sent      [][]time.Time
+	tally     fleetTally
+}
+
+// routerRules are the rules that the routers follow.
+type routerRules struct {
+	// secureFirst makes routers replace a silent attempt only if there is a
+	// speculative retry for it. Otherwise they cancel it, and need a retry then.
+	secureFirst bool
+
+	// useExtra makes them use their parts of the extra.
+	useExtra bool
+}
+
+// suspendedEngine names an engine that a router avoids.
+type suspendedEngine struct {
+	router int
+	engine *simEngine
+}
+
+// newFleet returns a fleet with steady traffic.
+func newFleet(seed uint64, size fleetSize, rules routerRules) *fleet {
+	f := &fleet{
+		size: size, random: rand.New(rand.NewPCG(seed, uint64(size.routers))), now: time.Now(), rules: rules,
+		byService: make([][]*simEngine, size.services), suspended: make(map[suspendedEngine]time.Time),
+		requests: make([][]time.Time, size.services), sent: make([][]time.Time, size.services),
+	}
+	for range size.routers {
+		r := &simRouter{}
+		f.restart(r)
+		f.routers = append(f.routers, r)
+	}
+	f.schedule(0, f.countRouters)
+	weights := 0.0
+	for s := range size.services {
+		weights += 1 / float64(s+1)
+	}
+	for s := range size.services {
+		share := 1 / float64(s+1) / weights
+		for range max(int(share*float64(size.engines)), 2) {
+			e := &simEngine{service: s}
+			f.engines, f.byService[s] = append(f.engines, e), append(f.byService[s], e)
+		}
+		f.ask(s, share*size.perSecond)
+	}
+	return f
+}
+
+// restart starts a router, without what it knew.
+func (f *fleet) restart(r *simRouter) {
+	*r = simRouter{budget: retrybudget.NewBudget(ratio, windowLength), startedAt: f.now, side: r.side}
+	if f.rules.useExtra {
+		r.budget.SetExtra(float64(f.size.extra), func() (int, time.Time) { return r.mostRouters, r.grownAt })
+	}
+}
+
+// countRouters updates the numbers of routers that the routers have heard,
+// periodically. A router that has started hears one after the other.
+func (f *fleet) countRouters() {
+	present := make(map[int]int)
+	for _, r := range f.routers {
+		present[r.side]++
+	}
+	for _, r := range f.routers {
+		share := min(f.now.Sub(r.startedAt).Seconds()/discoveryTime.Seconds(), 1)
+		if n := int(share * float64(present[r.side])); n > 1 && n > r.mostRouters {
+			r.mostRouters, r.grownAt = n, f.now
+		}
+	}
+	f.schedule(countInterval, f.countRouters)
+}
+
+func (f *fleet) schedule(d time.Duration, do func()) {
+	heap.Push(&f.pending, simEvent{at: f.now.Add(d), do: do})
+}
+
+// run runs the simulation for a time.
+func (f *fleet) run(d time.Duration) {
+	until := f.now.Add(d)
+	for len(f.pending) > 0 && f.pending[0].at.Before(until) {
+		e := heap.Pop(&f.pending).(simEvent)
+		f.advance(e.at)
+		e.do()
+	}
+	f.advance(until)
+}
+
+// advance lets the time pass.
+func (f *fleet) advance(to time.Time) {
+	time.Sleep(to.Sub(f.now))
+	f.now = to
+}
+
+// exponential draws a time with the given mean.
+func (f *fleet) exponential(mean time.Duration) time.Duration {
+	return time.Duration(f.random.ExpFloat64() * float64(mean))
+}
+
+// ask sends requests for a service to random routers from now on.
+func (f *fleet) ask(service int, perSecond float64) {
+	f.schedule(f.exponential(time.Duration(float64(time.Second)/perSecond)), func() {
+		r := &simRequest{router: f.random.IntN(f.size.routers), service: service}
+		f.requests[service] = append(f.requests[service], f.now)
+		f.routers[r.router].budget.RecordRequest(f.now, serviceName(service))
+		f.start(r, f.pick(r))
+		f.ask(service, perSecond)
+	})
+}
+
+func serviceName(service int) string { return fmt.Sprint(service) }
+
+// pick returns a random engine that the request may run on, or nil.
+func (f *fleet) pick(r *simRequest) *simEngine {
+	engines := f.byService[r.service]
+	start := f.random.IntN(len(engines))
+	var avoided *simEngine
+	for i := range engines {
+		e := engines[(start+i)%len(engines)]
+		switch {
+		case e.removed || slices.Contains(r.tried, e):
+		case f.now.Before(f.suspended[suspendedEngine{r.router, e}]):
+			avoided = e
+		default:
+			return e
+		}
+	}
+	return avoided
+}
+
+// start begins an attempt.
+func (f *fleet) start(r *simRequest, e *simEngine) {
+	if e == nil {
+		return
+	}
+	r.tried = append(r.tried, e)
+	r.executions++
+	r.engine, r.index = e, len(e.running)
+	e.running = append(e.running, r)
+	if f.now.Before(e.failsUntil) {
+		f.fail(r)
+		return
+	}
+	r.endsAt = f.now.Add(f.exponential(meanDuration))
+	f.schedule(r.endsAt.Sub(f.now), func() { f.end(r, e) })
+	if left := e.pausedUntil.Sub(f.now); left > 0 {
+		f.delay(r, left)
+	}
+}
+
+// end ends the attempt at an engine if it still runs there and its time is over.
+func (f *fleet) end(r *simRequest, e *simEngine) {
+	if r.engine != e {
+		return
+	}
+	if left := r.endsAt.Sub(f.now); left > 0 {
+		f.schedule(left, func() { f.end(r, e) })
+		return
+	}
+	f.remove(r)
+}
+
+// remove takes the attempt of a request off its engine.
+func (f *fleet) remove(r *simRequest) {
+	e := r.engine
+	last := e.running[len(e.running)-1]
+	e.running[r.index], last.index = last, r.index
+	e.running = e.running[:len(e.running)-1]
+	r.engine = nil
+}
+
+// delay has a run wait for a pause that still takes a time.
+func (f *fleet) delay(r *simRequest, left time.Duration) {
+	r.endsAt = r.endsAt.Add(left)
+	if left <= silenceLimit {
+		return
+	}
+	e := r.engine
+	f.schedule(silenceLimit, func() {
+		if r.engine == e {
+			f.handleSilence(r)
+		}
+	})
+}
+
+// handleSilence decides on an attempt whose engine has been silent for too long.
+func (f *fleet) handleSilence(r *simRequest) {
+	f.tally.struck++
+	if r.executions >= attemptLimit {
+		f.tally.keptWaiting++
+		return
+	}
+	if !f.rules.secureFirst {
+		f.suspended[suspendedEngine{r.router, r.engine}] = f.now.Add(suspension)
+		f.remove(r)
+		f.retry(r)
+		return
+	}
+	e := f.pick(r)
+	if e == nil || !f.routers[r.router].budget.TakeSpeculative(f.now, serviceName(r.service)) {
+		f.tally.keptWaiting++
+		return
+	}
+	f.remove(r)
+	f.tally.replacements++
+	f.sent[r.service] = append(f.sent[r.service], f.now)
+	f.start(r, e)
+}
+
+// fail ends an attempt at an engine that is down.
+func (f *fleet) fail(r *simRequest) {
+	f.tally.struck++
+	f.suspended[suspendedEngine{r.router, r.engine}] = f.now.Add(suspension)
+	f.remove(r)
+	if r.executions < attemptLimit {
+		f.retry(r)
+	}
+}
+
+// retry sends a request whose attempt is lost to another engine.
+func (f *fleet) retry(r *simRequest) {
+	e := f.pick(r)
+	if e == nil {
+		return
+	}
+	if !f.routers[r.router].budget.Take(f.now, serviceName(r.service)) {
+		f.tally.withoutBudget++
+		return
+	}
+	f.tally.retries++
+	f.sent[r.service] = append(f.sent[r.service], f.now)
+	f.start(r, e)
+}
+
+// strike begins a trouble. Engines that fail do so for the given time.
+func (f *fleet) strike(t trouble, outage time.Duration) {
+	busiest := slices.MaxFunc(f.engines, func(a, b *simEngine) int { return len(a.running) - len(b.running) })
+	struck := []*simEngine{busiest}
+	if t == allPause || t == allFail {
+		struck = f.engines
+	}
+	for _, e := range struck {
+		running := slices.Clone(e.running)
+		switch t {
+		case onePauses, allPause:
+			e.pausedUntil = f.now.Add(pauseLength)
+			for _, r := range running {
+				f.delay(r, pauseLength)
+			}
+			continue
+		case oneDies:
+			e.failsUntil = f.now.Add(observed)
+			f.schedule(removal, func() { e.removed = true })
+		case allFail:
+			e.failsUntil = f.now.Add(outage)
+		}
+		for _, r := range running {
+			f.fail(r)
+		}
+	}
+}
+
+// mostBeyondRatio returns the largest number of retries beyond the ratio in any
+// window, at the service that has most. The requests are those of the window, the
+// one before it or the one half a window before it, whichever has most.
+func (f *fleet) mostBeyondRatio() float64 {
+	most := 0.0
+	for s, sent := range f.sent {
+		for _, at := range sent {
+			for _, end := range []time.Time{at, at.Add(windowLength)} {
+				requests := 0
+				for _, earlier := range []time.Duration{0, windowLength / 2, windowLength} {
+					requests = max(requests, countBetween(f.requests[s], end.Add(-earlier)))
+				}
+				most = max(most, float64(countBetween(sent, end))-ratio*float64(requests))
+			}
+		}
+	}
+	return most
+}
+
+// countBetween returns the number of sorted times in the window that ends at end.
+func countBetween(times []time.Time, end time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, end.Add(-windowLength), time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(times, end.Add(1), time.Time.Compare)
+	return last - first
+}
+
+// fleetSizes are the sizes of the simulations. The last one is the one to design
+// for.
+var fleetSizes = []fleetSize{
+	{routers: 8, engines: 30, perSecond: 64, services: 3, extra: 50, runs: 40},
+	{routers: 80, engines: 2_400, perSecond: 1_880, services: 15, extra: 200, runs: 4},
+	{routers: 400, engines: 12_000, perSecond: 9_400, services: 15, extra: 200, runs: 1},
+}
+
+// rarelyUsed is a service alone of which each router has few requests in a window.
+var rarelyUsed = fleetSize{routers: 400, engines: 64, perSecond: 50, services: 1, extra: 200, runs: 10}
+
+// simulate runs what a test does with a fleet in virtual time. It returns what the
+// routers did, and the most retries beyond the ratio in any window.
+func simulate(t *testing.T, seed uint64, size fleetSize, rules routerRules, do func(f *fleet)) (tally fleetTally, most float64) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		f := newFleet(seed, size, rules)
+		f.run(warmup)
+		do(f)
+		tally, most = f.tally, f.mostBeyondRatio()
+	})
+	return tally, most
+}
+
+// expectBoundKept checks the sum over all routers at each size.
+func expectBoundKept(t *testing.T, do func(f *fleet)) {
+	t.Helper()
+	for _, size := range append(slices.Clone(fleetSizes), rarelyUsed) {
+		t.Run(size.String(), func(t *testing.T) {
+			t.Parallel()
+			tally, most := simulate(t, 1, size, routerRules{secureFirst: true, useExtra: true}, do)
+			gomega.NewWithT(t).Expect(most).To(gomega.BeNumerically("<=", size.extra), "%+v", tally)
+		})
+	}
+}
+
+// String returns the name of a size in tests and figures.
+func (s fleetSize) String() string {
+	return fmt.Sprintf("%d routers with %.0f requests a second", s.routers, s.perSecond)
+}
+
+// TestRetriesOfAllRoutersKeepTheBound has engines pause and fail. It guards against
+// routers that each stay within the ratio in windows of their own and together
+// exceed the bound.
+func TestRetriesOfAllRoutersKeepTheBound(t *testing.T) {
+	t.Parallel()
+	for _, what := range []trouble{onePauses, oneDies, allPause, allFail} {
+		t.Run(string(what), func(t *testing.T) {
+			t.Parallel()
+			expectBoundKept(t, func(f *fleet) {
+				f.strike(what, outage)
+				f.run(observed)
+			})
+		})
+	}
+}
+
+// TestRestartedRouterKeepsTheBound has a router restart while all engines fail. It
+// guards against a router that uses its part of the extra again.
+func TestRestartedRouterKeepsTheBound(t *testing.T) {
+	t.Parallel()
+	expectBoundKept(t, func(f *fleet) {
+		f.strike(allFail, longOutage)
+		f.run(5 * time.Second)
+		f.restart(f.routers[0])
+		f.run(longOutage)
+	})
+}
+
+// TestStartingRoutersKeepTheBound has all routers start shortly before all engines
+// fail. It guards against routers that take the part of a smaller number of routers
+// before they have heard of all.
+func TestStartingRoutersKeepTheBound(t *testing.T) {
+	t.Parallel()
+	expectBoundKept(t, func(f *fleet) {
+		for _, r := range f.routers {
+			f.restart(r)
+		}
+		f.run(time.Second)
+		f.strike(allFail, longOutage)
+		f.run(longOutage)
+	})
+}
+
+// TestPartitionedRoutersKeepTheBound partitions the routers into halves and has all
+// of one half restart, some time before all engines fail. It guards against routers
+// that take the part of a smaller number, as they have never heard the others.
+func TestPartitionedRoutersKeepTheBound(t *testing.T) {
+	t.Parallel()
+	expectBoundKept(t, func(f *fleet) {
+		half := f.routers[:f.size.routers/2]
+		for _, r := range half {
+			r.side = 1
+			f.restart(r)
+		}
+		f.run(warmup)
+		f.strike(allFail, longOutage)
+		f.run(longOutage)
+	})
+}
+
+// longOutage is an outage in which each router uses all retries that it may.
+const longOutage = 25 * time.Second
+
+// TestRetryFigures prints the figures of docs/CAPACITY.md, as means of runs.
+func TestRetryFigures(t *testing.T) {
+	if os.Getenv("SNIPETALLY_FIGURES") == "" {
+		t.Skip("set SNIPETALLY_FIGURES=1 to print the figures")
+	}
+	rules := []routerRules{{}, {secureFirst: true}, {secureFirst: true, useExtra: true}}
+	for _, size := range append(slices.Clone(fleetSizes), rarelyUsed) {
+		for _, what := range []trouble{onePauses, oneDies, allPause, allFail} {
+			for _, r := range rules {
+				var sum fleetTally
+				most := 0.0
+				for seed := range size.runs {
+					tally, beyond := simulate(t, uint64(seed+1), size, r, func(f *fleet) {
+						f.strike(what, outage)
+						f.run(observed)
+					})
+					sum.add(tally)
+					most = max(most, beyond)
+				}
+				t.Logf("%v, %s, %+v: %s, at most %.0f beyond the ratio of %d allowed",
+					size, what, r, sum.mean(size.runs), most, size.extra)
+			}
+		}
+	}
+}
+
+// add adds the counts of another run.
+func (t *fleetTally) add(o fleetTally) {
+	t.struck += o.struck
+	t.retries += o.retries
+	t.replacements += o.replacements
+	t.withoutBudget += o.withoutBudget
+	t.keptWaiting += o.keptWaiting
+}
+
+// mean describes the mean counts of a number of runs.
+func (t *fleetTally) mean(runs int) string {
+	n := float64(runs)
+	return fmt.Sprintf("%.1f struck, %.1f retries, %.1f replacements, %.1f without budget, %.1f kept waiting", float64(t.struck)/n,
+		float64(t.retries)/n, float64(t.replacements)/n, float64(t.withoutBudget)/n, float64(t.keptWaiting)/n)
+}
