Read retry-extra and count the routers that were heard

Cause: retrybudget can use the retries beyond the ratio that all routers may send, but the platform's bound was not read, and nothing counted routers for it. Broadcaster.MostRouters returns the largest number of routers that were alive at the same time since the start, and when it last grew. Figures: go test ./router/internal/loadreport ./router/internal/retrybudget ./router/relay ./platform/internal/adapter pass; the new test also with -race.

--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -99,11 +99,14 @@
 	// mu guards the fields below. peers holds the time until which reports are
 	// sent to each address, heard when each router last sent one, and planAges
 	// the plan age that each router last reported. Routers without a plan are
-	// not in planAges.
-	mu       sync.Mutex
-	peers    map[netip.AddrPort]time.Time
-	heard    map[netip.AddrPort]time.Time
-	planAges map[netip.AddrPort]planAge
+	// not in planAges. mostLive is the largest number of other routers that were
+	// alive at the same time, and mostLiveSince when it last grew.
+	mu            sync.Mutex
+	peers         map[netip.AddrPort]time.Time
+	heard         map[netip.AddrPort]time.Time
+	planAges      map[netip.AddrPort]planAge
+	mostLive      int
+	mostLiveSince time.Time
 }
 
 // planAge is a plan age reported by a router and the time of its receipt.
@@ -210,6 +213,9 @@
 			delete(b.heard, peer)
 		}
 	}
+	if live := len(b.live(now)); live > b.mostLive {
+		b.mostLive, b.mostLiveSince = live, now
+	}
 	for _, seed := range b.config.Seeds {
 		b.addPeer(seed, now.Add(introducedTimeout))
 	}
@@ -224,6 +230,11 @@
 func (b *Broadcaster) Live(now time.Time) []netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.live(now)
+}
+
+// live does the work of Live. The caller holds b.mu.
+func (b *Broadcaster) live(now time.Time) []netip.AddrPort {
 	live := make([]netip.AddrPort, 0, len(b.heard))
 	for peer, at := range b.heard {
 		if now.Sub(at) <= b.liveTime() {
@@ -233,6 +244,18 @@
 	return live
 }
 
+// MostRouters returns the largest number of routers, with this one, that were alive
+// at the same time since the start, and when that number last grew. The number is
+// zero if no other router was ever heard.
+func (b *Broadcaster) MostRouters() (routers int, grownAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.mostLive == 0 {
+		return 0, time.Time{}
+	}
+	return b.mostLive + 1, b.mostLiveSince
+}
+
 // liveTime returns how long after its last report a router counts as alive. The
 // caller holds b.mu.
 func (b *Broadcaster) liveTime() time.Duration {
--- a/router/internal/loadreport/broadcaster_test.go
+++ b/router/internal/loadreport/broadcaster_test.go
@@ -155,3 +155,45 @@
 	cancel()
 	running.Wait()
 }
+
+// TestLostRoutersStayInTheLargestNumber guards against a router that takes the
+// others for gone, and with them their parts of what all share, when it only can't
+// hear them.
+func TestLostRoutersStayInTheLargestNumber(t *testing.T) {
+	g := gomega.NewWithT(t)
+	seed := freeAddress(t)
+	var running sync.WaitGroup
+	defer running.Wait()
+	start := func(ctx context.Context, address netip.AddrPort, number uint32) *loadreport.Broadcaster {
+		broadcaster := loadreport.New(loadreport.Config{
+			Address: address, Seeds: []netip.AddrPort{seed},
+			Balancer: &fakeBalancer{number: number, received: make(map[uint32]placement.LoadReport)},
+			PlanAge:  func() (time.Duration, bool) { return 0, false }, ReportError: func(error) {},
+			Proofs: func() loadreport.Proofs { return loadreport.Proofs{} }, HearProofs: func(loadreport.Proofs) {},
+		})
+		running.Go(func() { _ = broadcaster.Run(ctx) })
+		return broadcaster
+	}
+	staying, stop := context.WithCancel(t.Context())
+	defer stop()
+	broadcaster := start(staying, seed, 0)
+	number, _ := broadcaster.MostRouters()
+	g.Expect(number).To(gomega.BeZero(), "no other router heard")
+	leaving, leave := context.WithCancel(t.Context())
+	defer leave()
+	for i := range 2 {
+		start(leaving, freeAddress(t), uint32(i+1))
+	}
+	for number < 3 {
+		time.Sleep(time.Millisecond)
+		number, _ = broadcaster.MostRouters()
+	}
+	_, grownAt := broadcaster.MostRouters()
+	leave()
+	for len(broadcaster.Live(time.Now())) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	number, sameTime := broadcaster.MostRouters()
+	g.Expect(number).To(gomega.Equal(3))
+	g.Expect(sameTime).To(gomega.Equal(grownAt))
+}
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -154,6 +154,7 @@
 		planAsOf:           n.plans.AsOf,
 		serversAsOf:        n.servers.AsOf,
 		planUnreachableFor: n.plans.OutageDuration,
+		routers:            func() (int, time.Time) { return n.broadcaster.MostRouters() },
 		peerHasFresherPlan: func(bound time.Duration) bool { return n.broadcaster.AnyFresherPlan(bound) },
 		log:                n.log,
 		metrics:            n.metrics,
--- a/router/relay/plan.go
+++ b/router/relay/plan.go
@@ -170,4 +170,8 @@
 	// fraction of the requests for it.
 	RetryRatio  float64
 	RetryWindow time.Duration
+
+	// RetryExtra is the number of retries at a service beyond the ratio that all
+	// routers together may send within RetryWindow. Zero means that it is not known.
+	RetryExtra float64
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -55,6 +55,9 @@
 	// to be the newest less than the bound ago.
 	peerHasFresherPlan func(bound time.Duration) bool
 
+	// routers counts the routers that were heard.
+	routers retrybudget.RouterCount
+
 	// askLoads updates the balancer's loads of engines, given by their hashes,
 	// and returns within milliseconds. If it is nil, the balancer uses the
 	// other routers' reports.
@@ -119,7 +122,7 @@
 		departures:  newDepartures(),
 	}
 	r.servers.Store(&map[string]*backendServer{})
-	r.bounds.Store(&options.bounds)
+	r.setBounds(options.bounds)
 	return r
 }
 
@@ -183,6 +186,7 @@
 func (r *relay) setBounds(bounds Bounds) {
 	r.bounds.Store(&bounds)
 	r.retryBudget.SetRatio(bounds.RetryRatio)
+	r.retryBudget.SetExtra(bounds.RetryExtra, r.options.routers)
 }
 
 // updateBalancer gives the balancer the servers that accept requests. Whether
--- a/router/relay/settings.go
+++ b/router/relay/settings.go
@@ -35,8 +35,8 @@
 
 // reload reads the bounds and puts them in force if they changed. If the
 // settings can't be read, the current bounds stay. In the line that it logs, the
-// keys revocation, drain and grace hold durations in milliseconds, and ratio
-// the ratio of retries to requests.
+// keys revocation, drain and grace hold durations in milliseconds, ratio the ratio
+// of retries to requests, and extra the retries beyond it of all routers.
 func (n *Node) reload() {
 	if n.config.Reload == nil {
 		return
@@ -51,5 +51,5 @@
 	}
 	n.relay.setBounds(next)
 	n.log.StateChange().Dur("revocation", next.MaxRevocationDelay).Dur("drain", next.DrainTimeout).Dur("grace", next.GracePeriod).
-		Float64("ratio", next.RetryRatio).Msg("settings changed")
+		Float64("ratio", next.RetryRatio).Float64("extra", next.RetryExtra).Msg("settings changed")
 }
