Show how an engine gets its load back after a pause

Cause: when an engine pauses, all routers count it as failing at once, by stalls, failed attempts and each other's reports. Nothing showed whether its load comes back, when, and whether it comes all at once. Change: engines of the simulation can pause, routers can wait for a silent engine or leave it within their speculative retries, and a test says what has to hold: half of the mean load within 10 s, no more than 1.25 times the largest load of any other engine, and requests on time. Conclusion: no fault was found. Load comes back gradually, as failures decay at each router by what it saw itself.

--- a/router/internal/placement/engine_test.go
+++ b/router/internal/placement/engine_test.go
@@ -40,6 +40,9 @@
 	outputTokens int
 	deadline     time.Time
 
+	// canceled makes the engine drop the request at the end of a step.
+	canceled bool
+
 	// onStart is called with the number of prompt tokens to process when the
 	// request gets a slot, onEvent with each event, onEnd when the request is complete,
 	// and onExpired when its deadline passes before that.
@@ -73,6 +76,9 @@
 	running  []*engineRequest
 	stepping bool
 
+	// pausedUntil is until when the engine stands still.
+	pausedUntil time.Time
+
 	// cache holds the tokens of each part; lruOrder lists the parts from the
 	// least to the most recently used one; cachedTokens is the sum of their
 	// tokens, and runningTokens that of the running requests.
@@ -137,6 +143,10 @@
 
 // endStep ends a step and starts the next one.
 func (e *engine) endStep() {
+	if left := e.pausedUntil.Sub(e.sim.now); left > 0 {
+		e.sim.schedule(left, e.endStep)
+		return
+	}
 	running := e.running
 	e.running = nil
 	for _, r := range running {
@@ -151,6 +161,9 @@
 
 // advance applies a step to a request and reports whether it goes on.
 func (e *engine) advance(r *engineRequest) bool {
+	if r.canceled {
+		return false
+	}
 	if e.sim.now.After(r.deadline) {
 		r.onExpired()
 		return false
--- a/router/internal/placement/simulation_test.go
+++ b/router/internal/placement/simulation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"snipetally.example/router/internal/placement"
+	"snipetally.example/router/internal/retrybudget"
 )
 
 // workClass is a class of requests in a simulation.
@@ -49,6 +50,10 @@
 	// directory makes the routers ask for the current loads of the engines that
 	// they consider.
 	directory bool
+
+	// silence is what routers do about an engine that is silent during a request
+	// for longer than a healthy one.
+	silence silencePolicy
 }
 
 // tally counts the requests of a class by their outcome.
@@ -109,6 +114,13 @@
 	balancers  []*placement.Balancer
 	engines    map[string]*engine
 
+	// budgets hold the retries of each router, from startedAt on.
+	budgets   map[*placement.Balancer]*retrybudget.Budget
+	startedAt time.Time
+
+	// budgetsStart is the real time of the start, at which the budgets begin.
+	budgetsStart time.Time
+
 	tallies map[string]*tally
 }
 
@@ -119,8 +131,10 @@
 		fleet:   fleet,
 		classes: classes,
 		engines: make(map[string]*engine),
+		budgets: make(map[*placement.Balancer]*retrybudget.Budget),
 		tallies: make(map[string]*tally),
 	}
+	s.startedAt, s.budgetsStart = s.now, time.Now()
 	for _, class := range classes {
 		s.tallies[class.name] = &tally{}
 	}
@@ -145,6 +159,7 @@
 	balancer := placement.NewBalancer(s.now, fmt.Sprint(len(s.exchanging)), "zone")
 	balancer.SetServers(s.now, s.servers)
 	s.exchanging = append(s.exchanging, balancer)
+	s.budgets[balancer] = retrybudget.NewBudget(retryRatio, retryWindow)
 	return balancer
 }
 
@@ -203,6 +218,9 @@
 	longestGap  time.Duration
 	firstEvent  time.Duration
 	refusals    int
+
+	// tried lists the engines that got the request.
+	tried []string
 }
 
 // ask sends a new request of a class.
@@ -248,10 +266,11 @@
 	t := s.tallies[c.class.name]
 	deadline := c.sentAt.Add(c.class.timeout)
 	router := s.balancers[s.random.IntN(len(s.balancers))]
+	s.budgets[router].RecordRequest(s.budgetTime(), c.request.Service)
 	if s.fleet.directory {
 		s.askLoads(router, c.request)
 	}
-	reservation, choice, err := router.Pick(s.now, c.request, nil)
+	reservation, choice, err := router.Pick(s.now, c.request, c.tried)
 	if err != nil {
 		c.refusals++
 		if c.refusals > 1 {
@@ -272,15 +291,20 @@
 			t.uncached++
 		}
 	}
+	c.tried = append(c.tried, choice.Server)
+	watch := s.watch(c, submitted, reservation, router)
 	submitted.onEvent = func() {
+		watch.progress()
 		reservation.RecordFirstEvent(s.now)
 		c.recordEvent(s.now)
 	}
 	submitted.onEnd = func() {
+		watch.stop()
 		reservation.Done(s.now, placement.Served)
 		t.recordAnswer(c)
 	}
 	submitted.onExpired = func() {
+		watch.stop()
 		reservation.Done(s.now, placement.Canceled)
 		t.expired++
 	}
