Wait with one function in each module

Cause: ten packages each had a sleep function of their own that waits until a context ends. They differed in the result and in what they did without a duration. Change: packages pause in coordination, router, standin and try hold one function each, since no module may import the internals of another. It returns at once if the duration is not positive, as the one of record did. The fake table still serves a request without a delay whose client has gone. Conclusion: a wait is read and corrected in one place of each module.

--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -19,6 +19,7 @@
 
 	"github.com/juju/errors"
 
+	"snipetally.example/coordination/internal/pause"
 	"snipetally.example/coordination/table"
 )
 
@@ -97,8 +98,8 @@
 		}
 		last = err
 		// Jitter keeps waiting processes from reading the row at the same time.
-		pause := m.config.PollInterval*3/4 + mathrand.N(m.config.PollInterval/2)
-		if !sleep(ctx, pause) {
+		wait := m.config.PollInterval*3/4 + mathrand.N(m.config.PollInterval/2)
+		if !pause.For(ctx, wait) {
 			return nil, fmt.Errorf("acquire lease %q: %w: %w", name, ctx.Err(), last)
 		}
 	}
@@ -187,15 +188,3 @@
 	}
 	return current.version, nil
 }
-
-// sleep waits for d and reports whether ctx is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/lease/runner.go
+++ b/coordination/lease/runner.go
@@ -7,6 +7,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+
+	"snipetally.example/coordination/internal/pause"
 )
 
 // Runner runs work while it holds a lease. T is the type of the result of the
@@ -71,7 +73,7 @@
 	endTimer := time.AfterFunc(l.Remaining()-r.StopMargin, cancelLost)
 	defer endTimer.Stop()
 	period := r.Manager.config.Duration / 4
-	for sleep(ctx, period) {
+	for pause.For(ctx, period) {
 		err := l.Renew(ctx)
 		if errors.Is(err, ErrLost) || !l.HeldFor(r.StopMargin) {
 			cancelLost()
--- a/coordination/record/batch.go
+++ b/coordination/record/batch.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"snipetally.example/coordination/internal/pause"
 	"snipetally.example/coordination/table"
 )
 
@@ -109,7 +110,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, time.Until(lastStart.Add(b.config.MinWriteInterval))) {
+		if !pause.For(ctx, time.Until(lastStart.Add(b.config.MinWriteInterval))) {
 			return
 		}
 		batch = b.fill(batch)
@@ -206,7 +207,7 @@
 		if conflict && len(batch) < before {
 			continue
 		}
-		sleep(ctx, jitter(backoff))
+		pause.For(ctx, jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	completeAll(batch, fallback)
@@ -343,21 +344,6 @@
 	return rows, nil
 }
 
-// sleep waits for d and reports whether the context is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // jitter returns a random duration between d/2 and d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
--- a/coordination/record/begin.go
+++ b/coordination/record/begin.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"snipetally.example/coordination/internal/pause"
 )
 
 // beginState is what begin knows about a location before its next step.
@@ -95,13 +97,13 @@
 				return d
 			}
 			if state.readFirst {
-				sleep(writeCtx, jitter(maxBackoff/4))
+				pause.For(writeCtx, jitter(maxBackoff/4))
 				continue
 			}
 		}
 		a, d := r.register(call, loc, &state)
 		if a == nil && d.Kind == 0 {
-			sleep(writeCtx, minBackoff)
+			pause.For(writeCtx, minBackoff)
 			continue
 		}
 		if a == nil {
@@ -245,7 +247,7 @@
 			last = CommitUncertain
 		case CommitRejected:
 		}
-		if !sleep(ctx, jitter(maxBackoff/4)) {
+		if !pause.For(ctx, jitter(maxBackoff/4)) {
 			return last
 		}
 	}
--- a/coordination/record/home.go
+++ b/coordination/record/home.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"hash/fnv"
 	"time"
+
+	"snipetally.example/coordination/internal/pause"
 )
 
 const (
@@ -276,7 +278,7 @@
 	if current.Recorded || !current.Tentative {
 		return Decision{Kind: Mismatch}
 	}
-	sleep(ctx, jitter(maxBackoff/4))
+	pause.For(ctx, jitter(maxBackoff/4))
 	return Decision{}
 }
 
--- a/coordination/record/join.go
+++ b/coordination/record/join.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"snipetally.example/coordination/internal/pause"
 )
 
 const (
@@ -77,7 +79,7 @@
 			return r.countDecision(d)
 		}
 		j = d.Join
-		if !sleep(ctx, minBackoff) {
+		if !pause.For(ctx, minBackoff) {
 			return r.countDecision(Decision{Kind: Unknown})
 		}
 	}
@@ -134,7 +136,7 @@
 		if errors.Is(err, ErrUnknownAttempt) || failures == maxAwaitFailures || ctx.Err() != nil {
 			return Outcome{}, err
 		}
-		sleep(ctx, jitter(maxBackoff))
+		pause.For(ctx, jitter(maxBackoff))
 	}
 }
 
--- a/coordination/record/outcome.go
+++ b/coordination/record/outcome.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"snipetally.example/coordination/internal/pause"
 	"snipetally.example/coordination/table"
 )
 
@@ -122,7 +123,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, r.config.FlushDelay) {
+		if !pause.For(ctx, r.config.FlushDelay) {
 			return
 		}
 		if r.flush(ctx) != nil {
--- a/coordination/record/recorder.go
+++ b/coordination/record/recorder.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+
+	"snipetally.example/coordination/internal/pause"
 )
 
 // finalFlushTimeout bounds the writing of outcomes at the end of Drain.
@@ -116,7 +118,7 @@
 	r.draining = true
 	r.mu.Unlock()
 	for ctx.Err() == nil && r.State().Running > 0 {
-		sleep(ctx, maxBackoff)
+		pause.For(ctx, maxBackoff)
 	}
 	r.endAll()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalFlushTimeout)
@@ -126,7 +128,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, jitter(maxBackoff)) {
+		if !pause.For(ctx, jitter(maxBackoff)) {
 			return fmt.Errorf("drain: %w", err)
 		}
 	}
--- a/coordination/record/sweep.go
+++ b/coordination/record/sweep.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"snipetally.example/coordination/internal/pause"
 	"snipetally.example/coordination/table"
 )
 
@@ -15,7 +16,7 @@
 
 // sweepLoop removes expired rows every SweepInterval until the context ends.
 func (r *Recorder) sweepLoop(ctx context.Context) {
-	for sleep(ctx, r.config.SweepInterval) {
+	for pause.For(ctx, r.config.SweepInterval) {
 		if r.homeOf("", sweepRow) != "" {
 			continue
 		}
@@ -38,7 +39,7 @@
 				break
 			}
 			// Writes of records and outcomes take precedence.
-			if !sleep(ctx, jitter(maxBackoff)) {
+			if !pause.For(ctx, jitter(maxBackoff)) {
 				return fmt.Errorf("sweep %s: %w", prefix, ctx.Err())
 			}
 		}
--- a/router/daemon/reconcile.go
+++ b/router/daemon/reconcile.go
@@ -8,6 +8,7 @@
 	"snipetally.example/coordination/lease"
 	"snipetally.example/router/internal/fleet"
 	"snipetally.example/router/internal/order"
+	"snipetally.example/router/internal/pause"
 )
 
 const (
@@ -37,7 +38,7 @@
 			}
 			cancel()
 		}
-		sleep(ctx, reconcileInterval)
+		pause.For(ctx, reconcileInterval)
 	}
 	return nil
 }
@@ -63,7 +64,7 @@
 func (r *Router) contextWhileReconciling(ctx context.Context) (context.Context, context.CancelFunc) {
 	bounded, cancel := context.WithCancel(ctx)
 	go func() {
-		for sleep(bounded, reconcileInterval) {
+		for pause.For(bounded, reconcileInterval) {
 			if !r.shouldReconcile() {
 				cancel()
 			}
@@ -84,7 +85,7 @@
 				r.log.Warn().Err(err).Str("server", desired.Server.Name).Bool("done", done).Msg("engine reconciliation failed")
 			}
 		}
-		if !sleep(ctx, reconcileInterval) {
+		if !pause.For(ctx, reconcileInterval) {
 			return struct{}{}, fmt.Errorf("reconcile engines: %w", context.Cause(ctx))
 		}
 	}
@@ -119,15 +120,3 @@
 	}
 	return all
 }
-
-// sleep waits for d. It returns false early if ctx is canceled.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/router/internal/attempt/engine.go
+++ b/router/internal/attempt/engine.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"snipetally.example/router/internal/link"
+	"snipetally.example/router/internal/pause"
 )
 
 const (
@@ -303,7 +304,7 @@
 	if a.brokenConnections > maxWithoutProgress {
 		return &finalError{run: runFromReply(s), reason: a.failureReason(failed), err: failed}
 	}
-	if !sleep(ctx, reconnectDelayUnit<<a.brokenConnections) {
+	if !pause.For(ctx, reconnectDelayUnit<<a.brokenConnections) {
 		return &finalError{run: runFromReply(s), reason: Canceled, err: context.Cause(ctx)}
 	}
 	return nil
--- a/router/internal/attempt/runner.go
+++ b/router/internal/attempt/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"snipetally.example/router/internal/link"
+	"snipetally.example/router/internal/pause"
 )
 
 const (
@@ -65,21 +66,9 @@
 			if r.cancelOnce(l, attempt, try) {
 				return
 			}
-			if !sleep(r.ctx, cancelBackoff<<try) {
+			if !pause.For(r.ctx, cancelBackoff<<try) {
 				return
 			}
 		}
 	})
 }
-
-// sleep waits for d and returns true, or returns false early if the context ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/router/internal/attempt/service.go
+++ b/router/internal/attempt/service.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"snipetally.example/router/internal/link"
+	"snipetally.example/router/internal/pause"
 )
 
 // ServiceCall is a call to a plain service.
@@ -168,7 +169,7 @@
 	delay := time.Duration(0)
 	run := RunUnknown
 	for range maxWithoutProgress {
-		if !sleep(ctx, delay) {
+		if !pause.For(ctx, delay) {
 			return RunUnknown
 		}
 		s, err := queryStatus(ctx, a.link, servicePath(a.call.AttemptID), a.call.AttemptID)
--- a/standin/engine/job.go
+++ b/standin/engine/job.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"snipetally.example/standin/internal/pause"
 )
 
 // State is the state of an attempt.
@@ -115,11 +117,11 @@
 	case <-j.ctx.Done():
 		return
 	}
-	if !sleep(j.ctx, e.prefill(j)) {
+	if !pause.For(j.ctx, e.prefill(j)) {
 		return
 	}
 	for j.outputTokens < j.outputLength {
-		if !sleep(j.ctx, e.nextTokenLatency()) {
+		if !pause.For(j.ctx, e.nextTokenLatency()) {
 			return
 		}
 		e.generateToken(j)
@@ -208,15 +210,3 @@
 func (j *job) ended() bool {
 	return j.state == StateDone || j.state == StateCancelled
 }
-
-// sleep waits for d and returns true, or returns false as soon as ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -14,6 +14,7 @@
 
 	"snipetally.example/coordination/table"
 	"snipetally.example/coordination/table/memory"
+	"snipetally.example/standin/internal/pause"
 )
 
 // Fault is a way in which a request to the table service fails.
@@ -100,7 +101,7 @@
 		t.faults = faults[1:]
 	}
 	t.mu.Unlock()
-	if !sleep(r, delay) {
+	if delay > 0 && !pause.For(r.Context(), delay) {
 		return
 	}
 	if unavailable {
@@ -122,21 +123,6 @@
 	}
 }
 
-// sleep waits for d and reports whether the client is still connected.
-func sleep(r *http.Request, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // discardResponse is an http.ResponseWriter that discards the response.
 type discardResponse struct {
 	header http.Header
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -17,6 +17,7 @@
 
 	"github.com/gorilla/mux"
 
+	"snipetally.example/standin/internal/pause"
 	"snipetally.example/standin/network"
 )
 
@@ -174,7 +175,7 @@
 		s.writeJSON(w, http.StatusConflict, attemptStatus{State: "refused"}, nil, r)
 		return
 	}
-	sleep(r.Context(), s.config.Delay)
+	pause.For(r.Context(), s.config.Delay)
 	f.trigger(r, AfterRun)
 	s.writeJSON(w, http.StatusOK, runResponse(run), f, r)
 }
@@ -308,13 +309,3 @@
 	s.faults = s.faults[1:]
 	return &f
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/try/internal/fault/balancer.go
+++ b/try/internal/fault/balancer.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"snipetally.example/try/internal/pause"
 )
 
 const (
@@ -67,7 +69,7 @@
 				group.Go(func() { b.poll(ctx, target) })
 			}
 		}
-		if sleep(ctx, pollInterval) != nil {
+		if !pause.For(ctx, pollInterval) {
 			return
 		}
 	}
@@ -80,7 +82,7 @@
 		b.mu.Lock()
 		b.ready[target] = ready
 		b.mu.Unlock()
-		if sleep(ctx, pollInterval) != nil {
+		if !pause.For(ctx, pollInterval) {
 			return
 		}
 	}
@@ -115,8 +117,8 @@
 		if address, ok := b.pickReady(); ok {
 			return address, nil
 		}
-		if err := sleep(ctx, pollInterval); err != nil {
-			return "", fmt.Errorf("wait for a ready router: %w", err)
+		if !pause.For(ctx, pollInterval) {
+			return "", fmt.Errorf("wait for a ready router: %w", ctx.Err())
 		}
 	}
 }
@@ -135,15 +137,3 @@
 	}
 	return "", false
 }
-
-// sleep waits for d or until ctx ends, whose error it returns.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/try/internal/fault/caller.go
+++ b/try/internal/fault/caller.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"snipetally.example/try/internal/pause"
 	"snipetally.example/try/internal/traffic"
 )
 
@@ -102,7 +103,7 @@
 		if !c.shouldRetry(h.Last()) || c.RetryTimeout > 0 && time.Now().After(retryDeadline) {
 			break
 		}
-		if sleep(ctx, retryDelay) != nil {
+		if !pause.For(ctx, retryDelay) {
 			break
 		}
 	}
--- a/try/internal/trial/guarantees.go
+++ b/try/internal/trial/guarantees.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"snipetally.example/try/internal/pause"
 	"snipetally.example/try/internal/report"
 	"snipetally.example/try/internal/site"
 	"snipetally.example/try/internal/traffic"
@@ -184,7 +185,7 @@
 		models := s.ServedModels(placementEngine)
 		g.Detail = fmt.Sprintf("%s serves %s", placementEngine, strings.Join(models, ", "))
 		g.Held = slices.Contains(models, placementModel)
-		if g.Held || sleep(ctx, pollInterval) != nil {
+		if g.Held || !pause.For(ctx, pollInterval) {
 			return g
 		}
 	}
--- a/try/internal/trial/trial.go
+++ b/try/internal/trial/trial.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"snipetally.example/try/internal/pause"
 	"snipetally.example/try/internal/report"
 	"snipetally.example/try/internal/site"
 	"snipetally.example/try/internal/traffic"
@@ -104,8 +105,8 @@
 	defer cancel()
 	for _, router := range s.Routers {
 		for !router.Ready() {
-			if err := sleep(ctx, pollInterval); err != nil {
-				return fmt.Errorf("wait for %s: %w", router.Name(), err)
+			if !pause.For(ctx, pollInterval) {
+				return fmt.Errorf("wait for %s: %w", router.Name(), ctx.Err())
 			}
 		}
 	}
@@ -118,21 +119,21 @@
 // after it if that is shorter. It records the outcome in changes.
 func applyChanges(ctx context.Context, s *site.Site, duration time.Duration, changes *changeResult) error {
 	const parts = 4
-	if err := sleep(ctx, duration/parts); err != nil {
-		return err
+	if !pause.For(ctx, duration/parts) {
+		return ctx.Err()
 	}
 	var err error
 	if changes.switchDelay, err = timeCommand(ctx, s, "preset", "switch", "-wait", targetPreset); err != nil {
 		return fmt.Errorf("switch preset: %w", err)
 	}
-	if err := sleep(ctx, duration/parts); err != nil {
-		return err
+	if !pause.For(ctx, duration/parts) {
+		return ctx.Err()
 	}
 	if changes.retireDelay, err = timeCommand(ctx, s, "backend", "retire", "-wait", retiredServer); err != nil {
 		return fmt.Errorf("retire backend server: %w", err)
 	}
-	if err := sleep(ctx, min(maxChangeDelay, duration/parts)-changes.retireDelay); err != nil {
-		return err
+	if !pause.For(ctx, min(maxChangeDelay, duration/parts)-changes.retireDelay) {
+		return ctx.Err()
 	}
 	changes.retiredRequests = countRetiredRequests(s)
 	return nil
@@ -158,13 +159,3 @@
 	}
 	return n
 }
-
-// sleep waits for d or until ctx ends, whose error it returns.
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
