Resume streams with one loop

Cause: the loop that resumes a stream until it is complete or the attempt is over stood twice, for responses that are forwarded and for responses that are assembled. Change: completeStream holds the loop; its caller makes the first exchange. Conclusion: the two ways of reading a stream can't diverge.

--- a/router/internal/attempt/assembler.go
+++ b/router/internal/attempt/assembler.go
@@ -22,7 +22,7 @@
 	original := a.sink
 	assembled := &assembler{limit: a.runner.config.MaxResponseBytes}
 	a.sink = assembled
-	err := a.readStreamFromStart(ctx)
+	err := a.completeStream(ctx, a.resumeStream(ctx))
 	a.sink = original
 	a.outcome.ResponseStarted, a.outcome.Events = false, 0
 	if err != nil {
@@ -41,21 +41,6 @@
 	return err
 }
 
-// readStreamFromStart reads the stream of the attempt from its start.
-func (a *engineAttempt) readStreamFromStart(ctx context.Context) error {
-	err := a.resumeStream(ctx)
-	for err != nil {
-		if isFinal(err) {
-			return err
-		}
-		if err = a.checkResumable(ctx, err); err != nil {
-			return err
-		}
-		err = a.resumeStream(ctx)
-	}
-	return nil
-}
-
 // chunk is a stream event in the form that the assembler supports, or the
 // assembled response. Any other field makes the response unsupported.
 type chunk struct {
--- a/router/internal/attempt/stream.go
+++ b/router/internal/attempt/stream.go
@@ -13,7 +13,12 @@
 
 // runStreaming runs a request for a streaming response.
 func (a *engineAttempt) runStreaming(ctx context.Context) error {
-	err := a.startStream(ctx)
+	return a.completeStream(ctx, a.startStream(ctx))
+}
+
+// completeStream resumes the stream of the attempt until it is complete or the
+// attempt is over. err is the error of the exchange that began to read it.
+func (a *engineAttempt) completeStream(ctx context.Context, err error) error {
 	for err != nil {
 		if isFinal(err) {
 			return err
