Start the routers of the daemon's tests in one way

Cause: two tests of daemon started and stopped a router with the same lines. Change: runRouter does it for both. It stops the test if the router can't be made, and reports an error at the end, as before. Conclusion: no check changed.

--- a/router/daemon/client_test.go
+++ b/router/daemon/client_test.go
@@ -100,7 +100,15 @@
 	address := listen(t, e)
 	text := fmt.Sprintf(settingsText, listen(t, platform.NewTableService()), listen(t, platform.NewVMList(0)),
 		sha256.Sum256([]byte("operator-key")), sha256.Sum256([]byte("team-key")), address)
-	router, err := daemon.New(t.Context(), daemon.Options{Settings: []byte(text), Log: io.Discard})
+	router := runRouter(t, text)
+	gomega.NewWithT(t).Eventually(router.Ready).WithTimeout(readyTimeout).Should(gomega.BeTrue())
+	return router, address
+}
+
+// runRouter runs a router with the given settings until the test ends, and checks
+// that it then stops without an error. It may not be ready yet.
+func runRouter(t testing.TB, settings string) *daemon.Router {
+	router, err := daemon.New(t.Context(), daemon.Options{Settings: []byte(settings), Log: io.Discard})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,8 +121,7 @@
 			t.Error(err)
 		}
 	})
-	gomega.NewWithT(t).Eventually(router.Ready).WithTimeout(readyTimeout).Should(gomega.BeTrue())
-	return router, address
+	return router
 }
 
 // chatParams returns a chat completion request for the model.
--- a/router/daemon/tls_test.go
+++ b/router/daemon/tls_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -86,17 +85,7 @@
 	var vms []platform.VM
 	for _, name := range []string{"router-a", "router-b"} {
 		own := strings.Replace(text, `name = "router"`, fmt.Sprintf("name = %q", name), 1)
-		router, err := daemon.New(t.Context(), daemon.Options{Settings: []byte(own), Log: io.Discard})
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- router.Run(ctx) }()
-		t.Cleanup(func() {
-			cancel()
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		})
+		router := runRouter(t, own)
 		routers = append(routers, router)
 		vms = append(vms, platform.VM{Name: name, Address: router.PeerAddress(), Zone: "a", Region: "r", State: platform.VMLive})
 	}
