Make the recorded node of the gossip tests in one place

Cause: three tests of membership built the same node over the same network. Change: newRecordedNode returns the node and the channel of its probes. Conclusion: no check changed.

--- a/coordination/membership/gossip_test.go
+++ b/coordination/membership/gossip_test.go
@@ -94,14 +94,20 @@
 	return reply, nil
 }
 
+// newRecordedNode returns a node and a channel with the probes that it sent.
+func newRecordedNode() (*membership.Node, chan membership.Message) {
+	network := recordingNetwork{sent: make(chan membership.Message, 1000)}
+	node := membership.New(membership.Config{
+		Self:      membership.Member{Name: "self", Address: "10.0.0.1:1"},
+		Transport: network, Lister: network,
+	})
+	return node, network.sent
+}
+
 func TestMissingDetailsOfUnknownMemberAreRequestedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		network := recordingNetwork{sent: make(chan membership.Message, 1000)}
-		node := membership.New(membership.Config{
-			Self:      membership.Member{Name: "self", Address: "10.0.0.1:1"},
-			Transport: network, Lister: network,
-		})
+		node, sent := newRecordedNode()
 		sendProbe(node, member(0), membership.Member{Name: "m1", Incarnation: 10, State: membership.Alive})
 		_, known := node.View().Find("m1")
 		g.Expect(known).To(gomega.BeFalse())
@@ -109,9 +115,9 @@
 		defer stop()
 		time.Sleep(10 * time.Second)
 		stop()
-		close(network.sent)
+		close(sent)
 		fullRequests := 0
-		for m := range network.sent {
+		for m := range sent {
 			if m.Full && len(m.Buckets) > 0 {
 				fullRequests++
 			}
@@ -181,11 +187,7 @@
 func TestRefutedDeathClaimIsNotProbed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		network := recordingNetwork{sent: make(chan membership.Message, 1000)}
-		node := membership.New(membership.Config{
-			Self:      membership.Member{Name: "self", Address: "10.0.0.1:1"},
-			Transport: network, Lister: network,
-		})
+		node, sent := newRecordedNode()
 		for i := range 20 {
 			claim, refutation := member(i), member(i)
 			claim.State = membership.Dead
@@ -198,22 +200,18 @@
 		time.Sleep(10 * time.Second)
 		stop()
 		// One probe a second, and none for members in doubt.
-		g.Expect(len(network.sent)).To(gomega.BeNumerically("<=", 12))
+		g.Expect(len(sent)).To(gomega.BeNumerically("<=", 12))
 	})
 }
 
 func TestProbeOfSuspectCarriesNoUpdates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		network := recordingNetwork{sent: make(chan membership.Message, 1000)}
-		node := membership.New(membership.Config{
-			Self:      membership.Member{Name: "self", Address: "10.0.0.1:1"},
-			Transport: network, Lister: network,
-		})
+		node, sent := newRecordedNode()
 		for i := range 20 {
 			sendProbe(node, member(i))
 		}
 		g.Expect(node.HandleRelay(context.Background(), membership.Target{Name: "m3", Address: member(3).Address})).To(gomega.Succeed())
-		g.Expect((<-network.sent).Updates).To(gomega.BeEmpty())
+		g.Expect((<-sent).Updates).To(gomega.BeEmpty())
 	})
 }
