Keep the simulated engine's attempts in one kind of heap

Cause: the heaps of waiting and of decoding attempts differed only in their order. Change: attemptHeap takes the order as a function; container/heap does the rest as before.

--- a/router/internal/measure/engine.go
+++ b/router/internal/measure/engine.go
@@ -32,10 +32,10 @@
 	down     bool
 	clockAt  time.Duration
 	clock    float64
-	waiting  waitHeap
+	waiting  attemptHeap
 	prefill  []*Attempt
 	chunkEnd time.Duration
-	decoding decodeHeap
+	decoding attemptHeap
 	cache    *prefixCache
 	sequence int
 	version  int
@@ -83,18 +83,26 @@
 
 // newEngine returns an idle engine.
 func newEngine(name string, slots int) *Engine {
-	return &Engine{Name: name, TargetBatch: slots, MaxBatch: slots * 3 / 2, Speed: 1, cache: newPrefixCache(cacheBlocks)}
+	return &Engine{
+		Name:        name,
+		TargetBatch: slots,
+		MaxBatch:    slots * 3 / 2,
+		Speed:       1,
+		waiting:     attemptHeap{goesBefore: isAdmittedBefore},
+		decoding:    attemptHeap{goesBefore: endsBefore},
+		cache:       newPrefixCache(cacheBlocks),
+	}
 }
 
 // outstanding returns the numbers of waiting and of running requests.
 func (e *Engine) outstanding() (waiting, running int) {
-	return len(e.waiting), len(e.prefill) + len(e.decoding)
+	return e.waiting.Len(), len(e.prefill) + e.decoding.Len()
 }
 
 // tokenLatency returns the time between two tokens of a response at the current
 // batch size.
 func (e *Engine) tokenLatency() time.Duration {
-	n := len(e.decoding)
+	n := e.decoding.Len()
 	perToken := float64(baseTokenLatency) + float64(tokenLatencyPerRequest)*float64(n)
 	if len(e.prefill) > 0 {
 		perToken *= prefillSlowdown
@@ -104,7 +112,7 @@
 
 // advance moves the clock of the batch to now.
 func (e *Engine) advance(now time.Duration) {
-	if len(e.decoding) > 0 {
+	if e.decoding.Len() > 0 {
 		e.clock += float64(now-e.clockAt) / float64(e.tokenLatency())
 	}
 	e.clockAt = now
@@ -122,7 +130,7 @@
 
 // admit starts the prefill of waiting attempts while the batch has room.
 func (e *Engine) admit(now time.Duration) {
-	for len(e.waiting) > 0 && len(e.prefill)+len(e.decoding) < e.MaxBatch {
+	for e.waiting.Len() > 0 && len(e.prefill)+e.decoding.Len() < e.MaxBatch {
 		a := heap.Pop(&e.waiting).(*Attempt)
 		a.state = attemptPrefill
 		e.prefill = append(e.prefill, a)
@@ -161,8 +169,8 @@
 	if len(e.prefill) > 0 {
 		at = e.chunkEnd
 	}
-	if len(e.decoding) > 0 {
-		left := max(e.decoding[0].finishClock-e.clock, 0)
+	if e.decoding.Len() > 0 {
+		left := max(e.decoding.attempts[0].finishClock-e.clock, 0)
 		finish := e.clockAt + time.Duration(left*float64(e.tokenLatency())) + time.Microsecond
 		at = min(at, finish)
 	}
@@ -191,7 +199,7 @@
 		}
 	}
 	const slack = 1e-6
-	for len(e.decoding) > 0 && e.decoding[0].finishClock <= e.clock+slack {
+	for e.decoding.Len() > 0 && e.decoding.attempts[0].finishClock <= e.clock+slack {
 		a := heap.Pop(&e.decoding).(*Attempt)
 		a.state = attemptDone
 		ended = append(ended, a)
@@ -240,65 +248,53 @@
 func (e *Engine) crash(now time.Duration) []*Attempt {
 	e.advance(now)
 	var lost []*Attempt
-	lost = append(lost, e.waiting...)
+	lost = append(lost, e.waiting.attempts...)
 	lost = append(lost, e.prefill...)
-	lost = append(lost, e.decoding...)
-	e.waiting, e.prefill, e.decoding = nil, nil, nil
+	lost = append(lost, e.decoding.attempts...)
+	e.waiting.attempts, e.prefill, e.decoding.attempts = nil, nil, nil
 	e.cache = newPrefixCache(cacheBlocks)
 	e.down = true
 	e.version++
 	return lost
 }
 
-// waitHeap orders waiting attempts by priority, then by arrival.
-type waitHeap []*Attempt
-
-func (h waitHeap) Len() int { return len(h) }
-func (h waitHeap) Less(i, j int) bool {
-	if h[i].Priority != h[j].Priority {
-		return h[i].Priority < h[j].Priority
-	}
-	return h[i].arrivalOrder < h[j].arrivalOrder
+// attemptHeap implements heap.Interface and keeps the index of each attempt up to
+// date. goesBefore determines the order.
+type attemptHeap struct {
+	attempts   []*Attempt
+	goesBefore func(a, b *Attempt) bool
 }
-func (h waitHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
+
+func (h *attemptHeap) Len() int           { return len(h.attempts) }
+func (h *attemptHeap) Less(i, j int) bool { return h.goesBefore(h.attempts[i], h.attempts[j]) }
+func (h *attemptHeap) Swap(i, j int) {
+	h.attempts[i], h.attempts[j] = h.attempts[j], h.attempts[i]
+	h.attempts[i].index = i
+	h.attempts[j].index = j
 }
-func (h *waitHeap) Push(x any) {
+func (h *attemptHeap) Push(x any) {
 	a := x.(*Attempt)
-	a.index = len(*h)
-	*h = append(*h, a)
+	a.index = len(h.attempts)
+	h.attempts = append(h.attempts, a)
 }
-func (h *waitHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	*h = old[:len(old)-1]
+func (h *attemptHeap) Pop() any {
+	last := len(h.attempts) - 1
+	a := h.attempts[last]
+	h.attempts = h.attempts[:last]
 	return a
 }
 
-// decodeHeap orders decoding attempts by the clock value at which they end.
-type decodeHeap []*Attempt
-
-func (h decodeHeap) Len() int           { return len(h) }
-func (h decodeHeap) Less(i, j int) bool { return h[i].finishClock < h[j].finishClock }
-func (h decodeHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-func (h *decodeHeap) Push(x any) {
-	a := x.(*Attempt)
-	a.index = len(*h)
-	*h = append(*h, a)
-}
-func (h *decodeHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return a
+// isAdmittedBefore orders waiting attempts by priority, then by arrival.
+func isAdmittedBefore(a, b *Attempt) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.arrivalOrder < b.arrivalOrder
 }
 
+// endsBefore orders decoding attempts by the clock value at which they end.
+func endsBefore(a, b *Attempt) bool { return a.finishClock < b.finishClock }
+
 // prefixCache is a prefix cache that evicts the least recently used blocks.
 type prefixCache struct {
 	limit   int
--- a/router/internal/measure/simulation.go
+++ b/router/internal/measure/simulation.go
@@ -313,7 +313,7 @@
 	const period = 500 * time.Millisecond
 	for _, e := range sim.engineOrder {
 		e.advance(sim.now)
-		for _, a := range e.decoding {
+		for _, a := range e.decoding.attempts {
 			j := a.Job
 			if sim.lostRouters[j.Router] {
 				continue
