--- a/router/internal/capacity/heap_test.go
+++ b/router/internal/capacity/heap_test.go
@@ -40,14 +40,10 @@
 // encodePlan returns the revision whose documents are the plan of a size.
 func encodePlan(tb testing.TB, size capacity.Size) *revision.Snapshot {
 	tb.Helper()
-	changes, err := document.Encode(capacity.Plan(size))
+	s, err := capacity.Encode(capacity.Plan(size))
 	if err != nil {
 		tb.Fatal(err)
 	}
-	s := &revision.Snapshot{Revision: 1, Documents: make(map[string]revision.Document, len(changes))}
-	for _, change := range changes {
-		s.Documents[change.Key] = revision.Document{Key: change.Key, Value: change.Value, Revision: 1}
-	}
 	return s
 }
 
--- a/router/internal/capacity/plan.go
+++ b/router/internal/capacity/plan.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 
+	"snipetally.example/coordination/revision"
 	"snipetally.example/router/internal/document"
 )
 
@@ -47,6 +48,19 @@
 	}
 }
 
+// Encode returns the first revision of a plan.
+func Encode(p document.Plan) (*revision.Snapshot, error) {
+	changes, err := document.Encode(p)
+	if err != nil {
+		return nil, fmt.Errorf("encode plan: %w", err)
+	}
+	s := &revision.Snapshot{Revision: 1, Documents: make(map[string]revision.Document, len(changes))}
+	for _, change := range changes {
+		s.Documents[change.Key] = revision.Document{Key: change.Key, Value: change.Value, Revision: 1}
+	}
+	return s, nil
+}
+
 // Plan returns the plan of a deployment: a class for each tier, three presets,
 // and engines that are spread evenly over models, zones and partners.
 func Plan(size Size) document.Plan {
--- a/router/internal/document/cost_test.go
+++ b/router/internal/document/cost_test.go
@@ -19,14 +19,10 @@
 // snapshotOf returns a snapshot with the documents of the plan.
 func snapshotOf(tb testing.TB, p document.Plan) *revision.Snapshot {
 	tb.Helper()
-	changes, err := document.Encode(p)
+	s, err := capacity.Encode(p)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	s := &revision.Snapshot{Revision: 1, Documents: make(map[string]revision.Document, len(changes))}
-	for _, change := range changes {
-		s.Documents[change.Key] = revision.Document{Key: change.Key, Value: change.Value, Revision: 1}
-	}
 	return s
 }
 
