Remove functions that nothing calls

Cause: six functions had no caller in any module, nor a test: Server.Serves, Class.Outranks, Queue.EarliestTarget, Lease.Waited, Engine.DuplicateEvent and VMList.SetLag. Change: they are gone. The field behind Lease.Waited has the comment, and the comment of Lease names HeldFor instead of a function that does not exist. VMList.lag no longer changes, so it stands before the mutex. View.HomeInZone and Node.SetNote have tests and belong to the library for others, so they stay. Figures: a count of the words in all hand-written Go files found these six named at their declaration only. go test of coordination/lease, router, standin, wire and try passed once. Conclusion: behavior is unchanged.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -11,14 +11,18 @@
 	"snipetally.example/coordination/table"
 )
 
-// Lease is a lease that was acquired. It may have been lost since; see Held. It
-// is safe for concurrent use.
+// Lease is a lease that was acquired. It may have been lost since; see HeldFor.
+// It is safe for concurrent use.
 type Lease struct {
 	manager    *Manager
 	name       string
 	fence      uint64
 	acquiredAt ClockReading
-	waited     bool
+
+	// waited is set if the previous holder's lease was observed until it expired,
+	// including the margin, or if there was no previous holder. It is not set
+	// after a release.
+	waited bool
 
 	// renewMu is held during Renew and Release. It is locked before mu.
 	renewMu sync.Mutex
@@ -39,11 +43,6 @@
 // holders.
 func (l *Lease) Fence() uint64 { return l.fence }
 
-// Waited reports whether the previous holder's lease was observed until it
-// expired, including the margin, or there was no previous holder. It is false
-// after a release.
-func (l *Lease) Waited() bool { return l.waited }
-
 // PredecessorsSettled reports whether nothing that the previous holder sent
 // under its lease can still be in flight: either its lease was observed until
 // it expired, or as much time has passed since this lease was acquired.
--- a/router/internal/backend/backend.go
+++ b/router/internal/backend/backend.go
@@ -2,8 +2,6 @@
 // It holds plain data and imports no other package of the router.
 package backend
 
-import "slices"
-
 // Kind is the kind of a backend server.
 type Kind uint8
 
@@ -55,8 +53,3 @@
 	SupportsFencing bool
 	State           State
 }
-
-// Serves reports whether the server is an engine that serves the model.
-func (s *Server) Serves(model string) bool {
-	return s.Kind == KindEngine && slices.Contains(s.Models, model)
-}
--- a/router/internal/class/class.go
+++ b/router/internal/class/class.go
@@ -67,8 +67,3 @@
 	// one router.
 	MaxQueued int
 }
-
-// Outranks reports whether c is in a more important tier than other.
-func (c *Class) Outranks(other *Class) bool {
-	return c.Tier < other.Tier
-}
--- a/router/internal/queue/queue.go
+++ b/router/internal/queue/queue.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"snipetally.example/router/internal/class"
 )
@@ -324,16 +323,6 @@
 	}
 }
 
-// EarliestTarget returns the target of the item that is next in a tier, which
-// is the earliest one among the flows within their share.
-func (q *Queue[T]) EarliestTarget(t class.Tier) (time.Time, bool) {
-	f := q.tiers[t].next()
-	if f == nil {
-		return time.Time{}, false
-	}
-	return f.head().Target, true
-}
-
 // flowOf returns the flow of an item and creates it if needed.
 func (q *Queue[T]) flowOf(item *Item[T]) *flow[T] {
 	cq, ok := q.classes[item.Class.Name]
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -63,9 +63,6 @@
 // SendWrongAttempt makes the next response that of another attempt.
 func (e *Engine) SendWrongAttempt() { e.Inject(Fault{Kind: FaultWrongAttempt}) }
 
-// DuplicateEvent makes the next stream send event number n twice.
-func (e *Engine) DuplicateEvent(n int) { e.Inject(Fault{Kind: FaultDuplicate, Event: n}) }
-
 // SetLatencyFactor multiplies the duration of prefill and of each token by
 // factor. A factor of 1 restores normal speed.
 func (e *Engine) SetLatencyFactor(factor float64) {
--- a/standin/platform/vms.go
+++ b/standin/platform/vms.go
@@ -33,9 +33,10 @@
 // VMList is a fake of the platform's VM list, which shows changes late. It
 // implements http.Handler for GET /vms.
 type VMList struct {
+	lag time.Duration
+
 	// mu guards the fields below.
 	mu          sync.Mutex
-	lag         time.Duration
 	unavailable bool
 	snapshots   []snapshot
 }
@@ -55,13 +56,6 @@
 	l.snapshots = append(l.snapshots, snapshot{at: time.Now(), vms: append([]VM(nil), vms...)})
 }
 
-// SetLag sets the time after which the list shows changes.
-func (l *VMList) SetLag(lag time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lag = lag
-}
-
 // SetUnavailable makes requests fail with status 503 until it is called with
 // false.
 func (l *VMList) SetUnavailable(unavailable bool) {
