Remove what the simulation writes and never reads

Cause: Engine.Fixed was neither set nor read, Attempt.submittedAt and Attempt.firstAt were set and never read, and Tally.recordRefused and Tally.recordDone did nothing. Change: they are gone.

--- a/router/internal/measure/engine.go
+++ b/router/internal/measure/engine.go
@@ -25,10 +25,6 @@
 	// Speed is 1 for a healthy engine.
 	Speed float64
 
-	// Fixed is meant for engines that run plain service calls, each of the same
-	// length. Nothing sets or reads it.
-	Fixed time.Duration
-
 	down     bool
 	clockAt  time.Duration
 	clock    float64
@@ -55,8 +51,6 @@
 	promptLeft   int
 	index        int
 	state        attemptState
-	submittedAt  time.Duration
-	firstAt      time.Duration
 }
 
 type attemptState uint8
@@ -190,7 +184,6 @@
 		first = e.prefill[0]
 		e.prefill = e.prefill[1:]
 		first.state = attemptDecoding
-		first.firstAt = now
 		first.startClock = e.clock
 		first.finishClock = e.clock + float64(first.Job.Length-1)
 		heap.Push(&e.decoding, first)
--- a/router/internal/measure/simulation.go
+++ b/router/internal/measure/simulation.go
@@ -152,7 +152,6 @@
 	for _, d := range decisions {
 		if d.Refused {
 			d.Job.state = jobRefused
-			sim.tally.recordRefused(d.Job)
 			continue
 		}
 		sim.dispatch(d)
@@ -192,7 +191,6 @@
 			sim.failAttempt(j, 0)
 			return
 		}
-		attempt.submittedAt = sim.now
 		e.submit(sim.now, attempt)
 		sim.scheduleStep(e)
 	})
@@ -239,7 +237,6 @@
 		j := a.Job
 		j.state = jobDone
 		j.finished = sim.now + sim.latency(e.Name)
-		sim.tally.recordDone(j)
 		sim.finish(j, j.Length, false)
 	}
 	sim.scheduleStep(e)
--- a/router/internal/measure/tally.go
+++ b/router/internal/measure/tally.go
@@ -62,13 +62,6 @@
 	t.longestWait = max(t.longestWait, j.firstToken-j.Arrived)
 }
 
-// recordRefused does nothing: result counts refusals by the states of the jobs.
-func (t *Tally) recordRefused(*Job) {}
-
-// recordDone does nothing: result counts complete responses by the states of the
-// jobs.
-func (t *Tally) recordDone(*Job) {}
-
 // recordWasted records the tokens of a response that did not complete.
 func (t *Tally) recordWasted(tokens int) {
 	t.wastedTokens += tokens
