Close the datagram connection after a read error

Cause: exchange.New takes ownership of its connection, but Run closed it at the end of its context only. After a read error it stayed open. Change: Run closes the connection whenever it returns. A new test has a connection whose reads fail. Conclusion: the socket ends with Run. Nothing else in the daemon closes it once the router runs, except Kill.

--- a/router/internal/exchange/exchange.go
+++ b/router/internal/exchange/exchange.go
@@ -150,11 +150,12 @@
 	e.statistics.SentBytes += uint64(len(datagram))
 }
 
-// Run passes received packets to the receiver until ctx ends. The connection is
-// then closed, and Run returns nil.
+// Run passes received packets to the receiver until ctx ends, and then returns
+// nil, or until a packet can't be received. It closes the connection.
 func (e *Exchange) Run(ctx context.Context, receiver Receiver) error {
-	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
-	defer stop()
+	closeConn := func() { _ = e.conn.Close() }
+	defer closeConn()
+	defer context.AfterFunc(ctx, closeConn)()
 	buffer := make([]byte, demand.MaxDatagram)
 	for {
 		n, _, err := e.conn.ReadFrom(buffer)
--- a/router/internal/exchange/exchange_test.go
+++ b/router/internal/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -34,6 +35,9 @@
 	in      chan []byte
 	closed  chan struct{}
 	once    sync.Once
+
+	// readErr makes each read fail if it is set.
+	readErr error
 	net.PacketConn
 }
 
@@ -44,6 +48,9 @@
 }
 
 func (c *conn) ReadFrom(p []byte) (int, net.Addr, error) {
+	if c.readErr != nil {
+		return 0, nil, c.readErr
+	}
 	select {
 	case data := <-c.in:
 		return copy(p, data), nil, nil
@@ -166,3 +173,13 @@
 		g.Expect(<-done).To(gomega.Succeed())
 	})
 }
+
+func TestConnectionIsClosedAfterReadError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	network := &network{conns: make(map[string]*conn)}
+	broken := network.listen("10.0.0.1:1")
+	broken.readErr = errors.New("broken")
+	e := exchange.New("a", broken, []string{key}, directory{})
+	g.Expect(e.Run(t.Context(), &receiver{})).To(gomega.MatchError(broken.readErr))
+	g.Expect(broken.closed).To(gomega.BeClosed())
+}
