Say that a first token renews the whole prompt's estimates

Cause: learnPrefix took the number of cached tokens that the engine reports and ignored it, and the package comment of prefix said that estimates are corrected by such reports. Nothing is missing: once the first token has come, the engine has the whole prompt in its cache, whatever part it found there. Change: the parameter is gone, and both comments say what happens. Conclusion: behavior is unchanged.

--- a/router/internal/prefix/prefix.go
+++ b/router/internal/prefix/prefix.go
@@ -1,7 +1,8 @@
 // Package prefix estimates which prompt prefixes the engines have in their
 // caches. Cache events arrive late and with gaps, so the estimates decay with
-// time and are corrected by what answers report. It is pure code, is not safe
-// for concurrent use and imports no other package of the router.
+// time, and the first token of a response renews those of its whole prompt. It
+// is pure code, is not safe for concurrent use and imports no other package of
+// the router.
 package prefix
 
 import (
--- a/router/internal/schedule/core.go
+++ b/router/internal/schedule/core.go
@@ -228,7 +228,7 @@
 	t.tokens = 1
 	t.latencySampledTokens = 1
 	c.learnStart(now, t, cached)
-	c.learnPrefix(now, t, cached)
+	c.learnPrefix(now, t)
 }
 
 // clearPrefill records that the server has processed the whole prompt.
--- a/router/internal/schedule/learn.go
+++ b/router/internal/schedule/learn.go
@@ -30,8 +30,8 @@
 }
 
 // learnPrefix records that the whole prompt of a ticket is now in the server's
-// cache.
-func (c *Core) learnPrefix(now time.Time, t *Ticket, _ int) {
+// cache, whatever part of it was there before.
+func (c *Core) learnPrefix(now time.Time, t *Ticket) {
 	for _, p := range lastOf(t.Request.Prefixes, maxPrefixLookups) {
 		c.prefixes.Add(now, p, t.server.Name, 1)
 	}
