Say that a base above the newest revision ends with 2

Cause: the page of commands said that such a command ends with 7. The router maps ErrUnknownBase to an invalid argument, which the command ends with 2.

--- a/try/internal/site/command_test.go
+++ b/try/internal/site/command_test.go
@@ -59,6 +59,7 @@
 		},
 		Entry("an unknown preset", command.ExitUsage, site.OperatorKey, []string{"preset", "switch", "night"}),
 		Entry("a value out of range", command.ExitUsage, site.OperatorKey, []string{"class", "set", "desk", "floor=3"}),
+		Entry("a base above the newest revision", command.ExitUsage, site.OperatorKey, []string{"preset", "switch", "-base", "99", "peak"}),
 		Entry("an unknown field", command.ExitUsage, site.OperatorKey, []string{"class", "set", "desk", "floors=0.1"}),
 		Entry("a field without a value", command.ExitUsage, site.OperatorKey, []string{"class", "set", "desk", "floor"}),
 		Entry("no name", command.ExitUsage, site.OperatorKey, []string{"backend", "retire"}),
