--- a/try/internal/site/command_test.go
+++ b/try/internal/site/command_test.go
@@ -17,6 +17,9 @@
 // readyTimeout bounds the wait for the routers to become ready.
 const readyTimeout = time.Minute
 
+// ordersTimeout bounds the wait for the effect of orders, which follow a lease.
+const ordersTimeout = 2 * time.Minute
+
 func TestSite(t *testing.T) {
 	RegisterFailHandler(Fail)
 	suite, reporter := GinkgoConfiguration()
@@ -91,6 +94,19 @@
 		}
 	})
 
+	It("brings an engine to the models of a preset, and back under a preset that does not place it", func() {
+		models := func() []string { return s.ServedModels("assistant-1") }
+		before := []string{"mazungumzo"}
+		switchTo := func(preset string) {
+			code, _, stderr := run(0, site.OperatorKey, "preset", "switch", "-wait", preset)
+			Expect(code).To(Equal(subcommands.ExitSuccess), stderr)
+		}
+		switchTo("peak")
+		Eventually(models).WithTimeout(ordersTimeout).Should(ContainElement("tiketi"))
+		switchTo("day")
+		Eventually(models).WithTimeout(ordersTimeout).Should(ConsistOf(before))
+	})
+
 	It("adds, retires and removes a backend server", func() {
 		code, _, stderr := run(0, site.OperatorKey, "backend", "add", "-wait", "spare", "address=127.0.0.1:9",
 			"zone=local-a", "region=local", "partner=kilele", `models=["mazungumzo"]`, "slots=4")
