Say what the conversions and checks of settings do

Cause: 38 functions of six lines or so had no comment, most of them in the conversion and the checks of documents and settings, where a reader has to find out which of them check what and why teams and servers take no path. Change: each has a comment. No line of code changed.

--- a/router/daemon/run.go
+++ b/router/daemon/run.go
@@ -96,6 +96,7 @@
 	r.platform.remote.Close()
 }
 
+// serve serves an endpoint until its server is shut down.
 func serve(e *endpoint) error {
 	err := e.server.Serve(e.listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/router/internal/caller/inflight.go
+++ b/router/internal/caller/inflight.go
@@ -64,6 +64,8 @@
 	return func() { i.add(class, -1) }
 }
 
+// add adds n requests of a class, or removes them if n is negative. It drops a
+// class without requests.
 func (i *Inflight) add(class string, n int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/router/internal/caller/run.go
+++ b/router/internal/caller/run.go
@@ -258,6 +258,7 @@
 	return s.Sink.Event(e)
 }
 
+// recordToken records a token in the timing of the response and at the gate.
 func (s *timedSink) recordToken() {
 	now := time.Now()
 	if s.timing.tokens == 0 {
--- a/router/internal/document/check.go
+++ b/router/internal/document/check.go
@@ -32,6 +32,8 @@
 	seen[name] = struct{}{}
 }
 
+// validName reports whether a name has only characters that a document key may
+// have, and neither too few nor too many.
 func validName(name string) bool {
 	if name == "" || len(name) > maxNameBytes {
 		return false
@@ -76,6 +78,8 @@
 	conv.checkPresets(plan, classes)
 }
 
+// checkPartners checks the partners and their loans, and returns the names of the
+// partners.
 func (conv *converter) checkPartners(plan fleet.Plan) nameSet {
 	seen := nameSet{}
 	for i, partner := range plan.Partners {
@@ -89,6 +93,8 @@
 	return seen
 }
 
+// checkClasses checks the classes as they are without a preset, and returns their
+// names.
 func (conv *converter) checkClasses(plan fleet.Plan, partners nameSet) nameSet {
 	seen := nameSet{}
 	for i := range plan.Classes {
@@ -123,6 +129,8 @@
 	}
 }
 
+// checkPresets checks the presets, the classes as each of them changes them, and
+// that the preset in force exists.
 func (conv *converter) checkPresets(plan fleet.Plan, classes nameSet) {
 	seen := nameSet{}
 	for i := range plan.Presets {
@@ -161,6 +169,7 @@
 	}
 }
 
+// checkTeams checks the teams, and that no key belongs to two of them.
 func (conv *converter) checkTeams(plan fleet.Plan, partners, classes nameSet) {
 	seen := make(nameSet, len(plan.Teams))
 	owners := make(map[contract.KeyHash]string, len(plan.Teams))
@@ -194,6 +203,7 @@
 	}
 }
 
+// checkServers checks the plain services and the backend servers.
 func (conv *converter) checkServers(plan fleet.Plan, partners nameSet) {
 	services := nameSet{}
 	for i, service := range plan.Services {
--- a/router/internal/document/codec.go
+++ b/router/internal/document/codec.go
@@ -61,6 +61,7 @@
 	err     error
 }
 
+// add adds the change that writes one document.
 func (e *encoder) add(kind Kind, name string, doc any) {
 	value, err := json.Marshal(doc)
 	if err != nil && e.err == nil {
@@ -96,6 +97,7 @@
 	return nil, fmt.Errorf("kind %q: %w", kind, ErrInvalid)
 }
 
+// canonicalize is Canonicalize for a kind of document with the encoded form T.
 func canonicalize[T any](value []byte) ([]byte, error) {
 	decoder := json.NewDecoder(bytes.NewReader(value))
 	decoder.DisallowUnknownFields()
--- a/router/internal/document/decoder.go
+++ b/router/internal/document/decoder.go
@@ -104,6 +104,8 @@
 	return nil, nil //nolint:nilnil // A document of unknown kind has no parsed value.
 }
 
+// parseAs parses a document with the encoded form T and returns a pointer to it.
+// It ignores unknown fields.
 func parseAs[T any](value []byte) (any, error) {
 	doc := new(T)
 	if err := json.Unmarshal(value, doc); err != nil {
--- a/router/internal/document/document.go
+++ b/router/internal/document/document.go
@@ -149,6 +149,7 @@
 	problems []Problem
 }
 
+// problemf adds a problem with the value at a path.
 func (conv *converter) problemf(path, format string, args ...any) {
 	conv.problems = append(conv.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
 }
@@ -166,6 +167,7 @@
 	return d
 }
 
+// optionalDuration is like duration for a field that may be absent.
 func (conv *converter) optionalDuration(path string, text *string) *time.Duration {
 	if text == nil {
 		return nil
@@ -210,6 +212,7 @@
 	return kind + "[" + strconv.Itoa(i) + "]"
 }
 
+// partner converts the partner at a path.
 func (conv *converter) partner(path string, doc Partner) contract.Partner {
 	partner := contract.Partner{Name: doc.Name}
 	for i, loan := range doc.Loans {
@@ -221,6 +224,8 @@
 	return partner
 }
 
+// class converts the class at a path. The ranges of the values are checked later,
+// since presets change them.
 func (conv *converter) class(path string, doc Class) class.Class {
 	if doc.Tier < 0 || doc.Tier >= class.Tiers {
 		conv.problemf(path+".tier", "%d is not between 0 and %d", doc.Tier, class.Tiers-1)
@@ -249,6 +254,7 @@
 	}
 }
 
+// preset converts the preset at a path.
 func (conv *converter) preset(path string, doc Preset) preset.Preset {
 	p := preset.Preset{
 		Name:       doc.Name,
@@ -275,6 +281,8 @@
 	return p
 }
 
+// team converts the team at an index. Unlike the parts above it takes no path, so
+// that a plan with thousands of teams builds paths only for actual problems.
 func (conv *converter) team(index int, doc Team) contract.Team {
 	team := contract.Team{
 		Name:    doc.Name,
@@ -298,6 +306,7 @@
 	return team
 }
 
+// server converts the backend server at an index, for the same reason.
 func (conv *converter) server(index int, doc Server) backend.Server {
 	server := backend.Server{
 		Name:            doc.Name,
--- a/router/internal/exchange/mapping.go
+++ b/router/internal/exchange/mapping.go
@@ -12,6 +12,7 @@
 // of a slot.
 const unitsPerSlot = 10
 
+// reportToWire converts a demand report to its wire type.
 func reportToWire(report share.DemandReport) *demand.Note {
 	w := &demand.Note{}
 	for name, slots := range report.Pools {
@@ -24,6 +25,7 @@
 	return w
 }
 
+// reportFromWire converts the demand report of a router from its wire type.
 func reportFromWire(router string, w *demand.Note) share.DemandReport {
 	report := share.DemandReport{Router: router, Pools: make(map[share.PoolName]share.Demand, len(w.GetPools()))}
 	for _, pool := range w.GetPools() {
@@ -38,6 +40,7 @@
 	return report
 }
 
+// limitsToWire converts the teams of a message about limits to their wire type.
 func limitsToWire(teams []limit.TeamDemand) *demand.Limits {
 	w := &demand.Limits{}
 	for _, team := range teams {
@@ -52,6 +55,8 @@
 	return w
 }
 
+// limitsFromWire converts a message about limits from its wire type, which names
+// neither sender nor receiver.
 func limitsFromWire(from, to string, w *demand.Limits) limit.Message {
 	message := limit.Message{From: from, To: to}
 	for _, team := range w.GetUsages() {
--- a/router/internal/health/health.go
+++ b/router/internal/health/health.go
@@ -257,6 +257,7 @@
 	Pace    float64 `json:"pace"`
 }
 
+// load returns the report in the units of the gate.
 func (r *loadResponse) load() schedule.Load {
 	return schedule.Load{
 		At:      time.UnixMilli(r.At),
--- a/router/internal/operators/edit.go
+++ b/router/internal/operators/edit.go
@@ -263,6 +263,7 @@
 	return parts, nil
 }
 
+// addPart encodes a part of a preset and adds it under its key.
 func addPart(parts map[partKey][]byte, key partKey, part any) error {
 	raw, err := json.Marshal(part)
 	if err != nil {
--- a/router/internal/settings/lines.go
+++ b/router/internal/settings/lines.go
@@ -50,6 +50,7 @@
 	return path
 }
 
+// keyPath returns the path that the key of a node names.
 func keyPath(node *unstable.Node) string {
 	path := ""
 	for it := node.Key(); it.Next(); {
@@ -58,6 +59,7 @@
 	return path
 }
 
+// join appends a key to a path, which may be empty.
 func join(path, key string) string {
 	if path == "" {
 		return key
--- a/router/internal/settings/parse.go
+++ b/router/internal/settings/parse.go
@@ -56,6 +56,7 @@
 	badLines map[int]bool
 }
 
+// problemf adds a problem with the value at a path, with its line.
 func (p *parser) problemf(path, format string, args ...any) {
 	line := p.lines.lineOf(path)
 	if p.badLines[line] {
@@ -102,6 +103,7 @@
 	return line
 }
 
+// settings converts and checks a decoded file.
 func (p *parser) settings(f *file) *Settings {
 	plan, problems := document.Convert(f.plan())
 	for _, problem := range problems {
@@ -139,6 +141,7 @@
 	return s
 }
 
+// duration parses a positive duration.
 func (p *parser) duration(path, text string) time.Duration {
 	d, err := time.ParseDuration(text)
 	if err != nil || d <= 0 {
@@ -148,12 +151,14 @@
 	return d
 }
 
+// address checks that a text is an IP address and port.
 func (p *parser) address(path, text string) {
 	if _, err := netip.ParseAddrPort(text); err != nil {
 		p.problemf(path, "%q is not an IP address and port", text)
 	}
 }
 
+// endpoint converts the table of an address to listen on.
 func (p *parser) endpoint(path string, table endpointTable) Endpoint {
 	p.address(path+".listen", table.Listen)
 	if (table.Certificate == "") != (table.Key == "") {
@@ -162,6 +167,7 @@
 	return Endpoint(table)
 }
 
+// platform converts the table of one of the platform's services.
 func (p *parser) platform(path string, table platformTable) PlatformService {
 	p.address(path+".address", table.Address)
 	return PlatformService{Address: table.Address, Timeout: p.duration(path+".timeout", table.Timeout)}
@@ -175,6 +181,8 @@
 	return p.platform(path, table)
 }
 
+// accounts converts and checks the accounts. The plan must have been converted
+// before, since an account names a partner.
 func (p *parser) accounts(s *Settings, tables []accountTable) {
 	partners := make(map[string]struct{})
 	for _, partner := range s.Plan.Partners {
@@ -201,6 +209,7 @@
 	}
 }
 
+// check checks the values that are not converted.
 func (p *parser) check(s *Settings) {
 	for _, item := range []struct{ path, value string }{
 		{"vm.name", s.VM.Name},
--- a/try/internal/fault/caller.go
+++ b/try/internal/fault/caller.go
@@ -141,6 +141,7 @@
 	return append([]History(nil), c.histories...)
 }
 
+// isClosed reports whether a channel on which nothing is sent is closed.
 func isClosed(stop <-chan struct{}) bool {
 	select {
 	case <-stop:
--- a/try/internal/report/report.go
+++ b/try/internal/report/report.go
@@ -99,6 +99,7 @@
 	return rows
 }
 
+// add counts the result of one request.
 func (r *row) add(result *traffic.Result) {
 	r.sent++
 	r.outputTokens += result.OutputTokens
@@ -114,6 +115,7 @@
 	}
 }
 
+// percent returns a part of a total in percent, and zero if the total is zero.
 func percent(part, total int) float64 {
 	const hundred = 100
 	return hundred * float64(part) / float64(max(total, 1))
