Shed within a class whose queue is full

Cause: a request whose class had its maximum number of requests queued shed one of a less important tier, if there was any, and joined the full queue. Change: such a request sheds one of its own class, as ClassVictim allows, or is refused. A protected one still sheds others, since it may be refused only if nothing else can be shed; a second test holds that. The property of the queue checks what ClassVictim returns.

--- a/router/internal/queue/queue_test.go
+++ b/router/internal/queue/queue_test.go
@@ -197,6 +197,11 @@
 					delete(waiting, next)
 				}
 			case 1:
+				if own, ok := q.ClassVictim(c, team); ok {
+					g.Expect(own.Item().Class.Protected).To(gomega.BeFalse())
+					g.Expect(own.Item().Class.Name).To(gomega.Equal(c.Name))
+					g.Expect(own.Item().Team).NotTo(gomega.Equal(team))
+				}
 				victim, ok := q.Victim(c, team)
 				if !ok {
 					continue
--- a/router/internal/queue/shed.go
+++ b/router/internal/queue/shed.go
@@ -23,9 +23,8 @@
 }
 
 // Victim returns an item to drop in place of a new one of class c and the given
-// team: one of the least important tier below c that has one, or one of c's own
-// class and a team whose backlog for its weight is more than twice that of the
-// new item's team, plus Quantum. It never returns a protected item.
+// team: one of the least important tier below c that has one, or else that of
+// ClassVictim. It never returns a protected item.
 func (q *Queue[T]) Victim(c *class.Class, team string) (Sheddable[T], bool) {
 	for i := class.Tiers - 1; i > int(c.Tier); i-- {
 		if q.tiers[i].waiting == 0 {
@@ -35,6 +34,14 @@
 			return s, true
 		}
 	}
+	return q.ClassVictim(c, team)
+}
+
+// ClassVictim returns an item of class c to drop in place of a new one of the
+// class and the given team: one of a team whose backlog for its weight is more
+// than twice that of the new item's team, plus Quantum. It never returns a
+// protected item.
+func (q *Queue[T]) ClassVictim(c *class.Class, team string) (Sheddable[T], bool) {
 	cq, ok := q.classes[c.Name]
 	if !ok {
 		return Sheddable[T]{}, false
--- a/router/internal/schedule/admit.go
+++ b/router/internal/schedule/admit.go
@@ -151,7 +151,7 @@
 func (c *Core) makeRoom(t *Ticket) bool {
 	class := t.item.Class
 	if class.MaxQueued > 0 && t.line.queue.ClassLen(class.Name) >= class.MaxQueued {
-		if !c.shed(t) {
+		if !c.makeRoomInClass(t) {
 			return false
 		}
 	}
@@ -163,6 +163,21 @@
 	return true
 }
 
+// makeRoomInClass sheds a waiting ticket of the new one's class, so that its
+// queue does not grow. A protected class sheds tickets of others instead, since
+// it may be refused only if there are none. It reports false if no ticket may be
+// shed.
+func (c *Core) makeRoomInClass(t *Ticket) bool {
+	if t.item.Class.Protected {
+		return c.shed(t)
+	}
+	victim, ok := t.line.queue.ClassVictim(t.item.Class, t.item.Team)
+	if ok {
+		c.refuseVictim(victim)
+	}
+	return ok
+}
+
 // shed refuses one waiting ticket that the queues allow to be shed in favor of
 // t, and reports whether there was one.
 func (c *Core) shed(t *Ticket) bool {
@@ -178,11 +193,16 @@
 	if !ok {
 		return false
 	}
-	shed := victim.Item().Value
-	c.refuse(shed, &Refusal{Reason: Overload, RetryAfter: c.retryAfter(shed)})
+	c.refuseVictim(victim)
 	return true
 }
 
+// refuseVictim refuses a waiting ticket that may be shed.
+func (c *Core) refuseVictim(victim queue.Sheddable[*Ticket]) {
+	t := victim.Item().Value
+	c.refuse(t, &Refusal{Reason: Overload, RetryAfter: c.retryAfter(t)})
+}
+
 // retryAfter returns the time after which the caller of a refused ticket may
 // retry.
 func (c *Core) retryAfter(t *Ticket) time.Duration {
--- a/router/internal/schedule/core_test.go
+++ b/router/internal/schedule/core_test.go
@@ -300,3 +300,71 @@
 	g.Expect(refused.Refusal.Reason).To(gomega.Equal(schedule.Limited))
 	g.Expect(core.State().Waiting).To(gomega.Equal(3))
 }
+
+// queueTest submits requests to a core with one slot, which a request of class
+// tags holds.
+type queueTest struct {
+	*gomega.WithT
+	core     *schedule.Core
+	snapshot *fleet.Snapshot
+	now      time.Time
+}
+
+// newQueueTest returns a test in which a class may have a number of requests
+// waiting.
+func newQueueTest(t *testing.T, className string, maxQueued int) *queueTest {
+	plan := testPlan(1, 1)
+	for i := range plan.Classes {
+		if plan.Classes[i].Name == className {
+			plan.Classes[i].MaxQueued = maxQueued
+		}
+	}
+	q := &queueTest{
+		WithT:    gomega.NewWithT(t),
+		core:     schedule.NewCore(schedule.Options{Seed: 1, Overcommit: -1}),
+		snapshot: fleet.New(1, plan),
+		now:      time.Unix(1000, 0),
+	}
+	q.core.Apply(q.now, q.snapshot)
+	q.Expect(q.submit("tags", 1)[0].Status).To(gomega.Equal(schedule.Granted))
+	return q
+}
+
+// submit submits a number of requests of a class.
+func (q *queueTest) submit(className string, n int) []*schedule.Ticket {
+	var tickets []*schedule.Ticket
+	for range n {
+		r := request(q.snapshot, className)
+		r.Arrived = q.now
+		tickets = append(tickets, q.core.Submit(q.now, r))
+		q.core.Decide(q.now)
+	}
+	return tickets
+}
+
+// countWaiting returns how many tickets are waiting.
+func countWaiting(tickets []*schedule.Ticket) int {
+	n := 0
+	for _, ticket := range tickets {
+		if ticket.Status == schedule.Waiting {
+			n++
+		}
+	}
+	return n
+}
+
+func TestFullQueueOfAClassShedsNoOtherClass(t *testing.T) {
+	q := newQueueTest(t, "front", 2)
+	tags := q.submit("tags", 3)
+	fronts := q.submit("front", 4)
+	q.Expect(countWaiting(fronts)).To(gomega.Equal(2))
+	q.Expect(countWaiting(tags)).To(gomega.Equal(3))
+}
+
+func TestFullQueueOfAProtectedClassShedsOthers(t *testing.T) {
+	q := newQueueTest(t, "protected", 2)
+	tags := q.submit("tags", 3)
+	protected := q.submit("protected", 4)
+	q.Expect(countWaiting(protected)).To(gomega.Equal(4))
+	q.Expect(countWaiting(tags)).To(gomega.Equal(1))
+}
