--- a/router/internal/measure/workload.go
+++ b/router/internal/measure/workload.go
@@ -159,9 +159,3 @@
 	}
 	return list
 }
-
-// quantile sorts the values and returns the one at index len(values)/part.
-func quantile(values []int, part int) int {
-	slices.Sort(values)
-	return values[len(values)/part]
-}
