Run properties in virtual time with one function

Change: package bubble of coordination, which only tests import, holds the lines and says why they are needed. Conclusion: no draw and no check changed.

--- a/coordination/feed/follower_test.go
+++ b/coordination/feed/follower_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/coordination/feed"
 	"snipetally.example/coordination/seeds"
 )
@@ -159,11 +160,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.IntRange(0, maxStep), 1, 30).Draw(rt, "steps")
 		pauses := rapid.SliceOfN(rapid.IntRange(0, maxPause), len(steps), len(steps)).Draw(rt, "pauses in ms")
-		var failure string
-		synctest.Test(t, func(t *testing.T) { failure = run(t, steps, pauses) })
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
+		bubble.Run(t, rt, func(t *testing.T) string { return run(t, steps, pauses) })
 	})
 }
 
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/coordination/lease"
 	"snipetally.example/coordination/seeds"
 	"snipetally.example/coordination/table"
@@ -140,8 +141,7 @@
 		modes := rapid.SliceOfN(rapid.IntRange(0, 4), 0, 60).Draw(rt, "modes")
 		renewals := rapid.SliceOfN(rapid.Bool(), 1, 12).Draw(rt, "renewals")
 		holders := rapid.IntRange(2, 3).Draw(rt, "holders")
-		var failure string
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, rt, func(t *testing.T) (failure string) {
 			tab := memory.New()
 			var calls, draws atomic.Int64
 			tab.SetFaults(func(table.Kind) memory.Fault {
@@ -180,10 +180,8 @@
 			if !nonDecreasing(log.unchecked) {
 				failure = fmt.Sprintf("a command of a former holder arrived after the successor's: %v", log.unchecked)
 			}
+			return failure
 		})
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
 	})
 }
 
--- a/coordination/lease/runner_test.go
+++ b/coordination/lease/runner_test.go
@@ -6,11 +6,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/coordination/lease"
 	"snipetally.example/coordination/table"
 	"snipetally.example/coordination/table/memory"
@@ -35,8 +35,7 @@
 			}
 		}
 		workSeconds := rapid.SliceOfN(rapid.SampledFrom([]int{1, 3, 30, 300}), 1, 5).Draw(rt, "work seconds")
-		var failure string
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, rt, func(t *testing.T) (failure string) {
 			tab := memory.New()
 			var calls, working, runs atomic.Int64
 			var overlap atomic.Bool
@@ -81,9 +80,7 @@
 			if runs.Load() == 0 {
 				failure = "no runner worked in eight minutes"
 			}
+			return failure
 		})
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
 	})
 }
--- a/coordination/revision/history_test.go
+++ b/coordination/revision/history_test.go
@@ -6,12 +6,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/coordination/revision"
 	"snipetally.example/coordination/table"
 	"snipetally.example/coordination/table/memory"
@@ -286,13 +286,9 @@
 func TestCommandsTakeEffectOnceInOneOrderUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := drawHistory(rt)
-		var failure string
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, rt, func(t *testing.T) string {
 			results, store := runHistory(t, h)
-			failure = checkHistory(t.Context(), h, results, store)
+			return checkHistory(t.Context(), h, results, store)
 		})
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
 	})
 }
--- a/coordination/table/guard/guard_test.go
+++ b/coordination/table/guard/guard_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/coordination/seeds"
 	"snipetally.example/coordination/table"
 	"snipetally.example/coordination/table/guard"
@@ -101,8 +102,7 @@
 			}
 		}), 1, 20).Draw(rt, "faults")
 		pause := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond
-		var failure string
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, rt, func(t *testing.T) (failure string) {
 			inner := memory.New()
 			tab := guard.New(inner, guard.Config{Failures: 2})
 			outcomes := make(map[string]error)
@@ -124,9 +124,7 @@
 					failure = fmt.Sprintf("a failed commit took effect: %v", err)
 				}
 			}
+			return failure
 		})
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
 	})
 }
--- a/router/internal/attempt/property_test.go
+++ b/router/internal/attempt/property_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/router/internal/attempt"
 	"snipetally.example/standin/engine"
 )
@@ -181,17 +182,14 @@
 func TestOutcomesMatchEngineRecords(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
-		var failure string
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, rt, func(t *testing.T) (failure string) {
 			results, eng := runScenario(t, s)
 			for n, r := range results {
 				if wrong := r.violation(eng); wrong != "" {
 					failure = fmt.Sprintf("call %d: %s; outcome %+v", n, wrong, r.outcome)
 				}
 			}
+			return failure
 		})
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
 	})
 }
--- a/router/internal/attempt/service_test.go
+++ b/router/internal/attempt/service_test.go
@@ -14,6 +14,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/router/internal/attempt"
 	"snipetally.example/router/internal/link"
 	"snipetally.example/standin/network"
@@ -297,11 +298,7 @@
 func TestOutcomesMatchServiceRuns(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sc := drawServiceScenario(rt)
-		var failure string
-		synctest.Test(t, func(*testing.T) { failure = runServiceScenario(sc) })
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
+		bubble.Run(t, rt, func(*testing.T) string { return runServiceScenario(sc) })
 	})
 }
 
--- a/router/internal/order/order_test.go
+++ b/router/internal/order/order_test.go
@@ -17,6 +17,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/coordination/lease"
 	"snipetally.example/coordination/seeds"
 	"snipetally.example/coordination/table"
@@ -137,8 +138,7 @@
 		delays := rapid.SliceOfN(rapid.SampledFrom([]int{1, 1, 700, 1900}), 2, 10).Draw(rt, "delays")
 		supportsFencing := rapid.Bool().Draw(rt, "fenced")
 		modes := rapid.SliceOfN(rapid.IntRange(0, 4), 0, 40).Draw(rt, "modes")
-		var failure string
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Run(t, rt, func(t *testing.T) (failure string) {
 			var mu sync.Mutex
 			turn := 0
 			draw := func(list []int) time.Duration {
@@ -189,10 +189,8 @@
 			if supportsFencing && slices.Max(pauses) <= 5000 && len(e.fences) == 0 {
 				failure = "no order was sent in three minutes"
 			}
+			return failure
 		})
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
 	})
 }
 
--- a/wire/peer/history_test.go
+++ b/wire/peer/history_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"snipetally.example/coordination/bubble"
 	"snipetally.example/coordination/seeds"
 	"snipetally.example/coordination/spread"
 )
@@ -185,22 +185,17 @@
 	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		n, steps := drawHistory(rt)
-		var failure string
-		synctest.Test(t, func(*testing.T) {
+		bubble.Run(t, rt, func(*testing.T) string {
 			f := newFleet(n, 3, 2)
 			defer f.stop()
 			for i, s := range steps {
 				time.Sleep(s.wait)
 				f.apply(s)
-				if failure = f.violation(); failure != "" {
-					failure = fmt.Sprintf("after step %d: %s", i, failure)
-					return
+				if wrong := f.violation(); wrong != "" {
+					return fmt.Sprintf("after step %d: %s", i, wrong)
 				}
 			}
-			failure = f.healAndCheck()
+			return f.healAndCheck()
 		})
-		if failure != "" {
-			rt.Fatalf("%s", failure)
-		}
 	})
 }
