Wait with one function for all modules

Cause: packages pause stood in four modules with the same lines, although each of them may import coordination. Change: coordination/pause serves all; try requires coordination directly.

--- a/coordination/lease/runner.go
+++ b/coordination/lease/runner.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 // Runner runs work while it holds a lease. T is the type of the result of the
--- a/coordination/internal/pause/pause.go
+++ b/coordination/pause/pause.go
@@ -1,4 +1,5 @@
-// Package pause waits for a duration that a context may end early.
+// Package pause waits for a duration that a context may end early. Other modules
+// use it too; it imports none of the other packages.
 package pause
 
 import (
--- a/coordination/record/batch.go
+++ b/coordination/record/batch.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 const (
--- a/coordination/record/begin.go
+++ b/coordination/record/begin.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 // beginState is what begin knows about a location before its next step.
--- a/coordination/record/flush.go
+++ b/coordination/record/flush.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/coordination/table"
 )
 
--- a/coordination/record/home.go
+++ b/coordination/record/home.go
@@ -6,7 +6,7 @@
 	"hash/fnv"
 	"time"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 const (
--- a/coordination/record/join.go
+++ b/coordination/record/join.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 const (
--- a/coordination/record/recorder.go
+++ b/coordination/record/recorder.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 // finalFlushTimeout bounds the writing of outcomes at the end of Drain.
--- a/coordination/record/sweep.go
+++ b/coordination/record/sweep.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/coordination/table"
 )
 
--- a/coordination/record/transaction.go
+++ b/coordination/record/transaction.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
-	"snipetally.example/coordination/internal/pause"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/coordination/table"
 )
 
--- a/router/daemon/reconcile.go
+++ b/router/daemon/reconcile.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"snipetally.example/coordination/lease"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/router/internal/fleet"
 	"snipetally.example/router/internal/order"
-	"snipetally.example/router/internal/pause"
 )
 
 const (
--- a/router/internal/attempt/resume.go
+++ b/router/internal/attempt/resume.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"snipetally.example/router/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 const (
--- a/router/internal/attempt/runner.go
+++ b/router/internal/attempt/runner.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"snipetally.example/coordination/pause"
 	"snipetally.example/router/internal/link"
-	"snipetally.example/router/internal/pause"
 )
 
 const (
--- a/router/internal/attempt/service.go
+++ b/router/internal/attempt/service.go
@@ -9,8 +9,8 @@
 
 	"github.com/juju/errors"
 
+	"snipetally.example/coordination/pause"
 	"snipetally.example/router/internal/link"
-	"snipetally.example/router/internal/pause"
 )
 
 // ServiceCall is a call to a plain service.
--- a/standin/engine/job.go
+++ b/standin/engine/job.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"snipetally.example/standin/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 // State is the state of an attempt.
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -12,9 +12,9 @@
 	"github.com/gorilla/mux"
 	"github.com/juju/errors"
 
+	"snipetally.example/coordination/pause"
 	"snipetally.example/coordination/table"
 	"snipetally.example/coordination/table/memory"
-	"snipetally.example/standin/internal/pause"
 )
 
 // Fault is a way in which a request to the table service fails.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -17,7 +17,7 @@
 
 	"github.com/gorilla/mux"
 
-	"snipetally.example/standin/internal/pause"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/standin/network"
 )
 
--- a/try/internal/fault/balancer.go
+++ b/try/internal/fault/balancer.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"snipetally.example/try/internal/pause"
+	"snipetally.example/coordination/pause"
 )
 
 const (
--- a/try/internal/fault/caller.go
+++ b/try/internal/fault/caller.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"snipetally.example/try/internal/pause"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/try/internal/traffic"
 )
 
--- a/try/internal/trial/guarantees.go
+++ b/try/internal/trial/guarantees.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"snipetally.example/try/internal/pause"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/try/internal/report"
 	"snipetally.example/try/internal/site"
 	"snipetally.example/try/internal/traffic"
--- a/try/internal/trial/trial.go
+++ b/try/internal/trial/trial.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"snipetally.example/try/internal/pause"
+	"snipetally.example/coordination/pause"
 	"snipetally.example/try/internal/report"
 	"snipetally.example/try/internal/site"
 	"snipetally.example/try/internal/traffic"
