Take defaults for zero fields with cmp.Or

Cause: nine packages replaced zero fields by their defaults with an if statement for each field, and two of them with a function of their own. Change: cmp.Or does it. The functions of membership and spread stay, since they replace negative values too. Conclusion: behavior is unchanged.

--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -11,6 +11,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"fmt"
@@ -70,22 +71,14 @@
 
 // NewManager returns a manager of leases in the table.
 func NewManager(t table.Table, config Config) *Manager {
-	defaultTo(&config.Prefix, "lease/")
-	defaultTo(&config.Duration, defaultDuration)
-	defaultTo(&config.Margin, defaultMargin)
-	defaultTo(&config.PollInterval, defaultPollInterval)
-	defaultTo(&config.CallTimeout, defaultCallTimeout)
+	config.Prefix = cmp.Or(config.Prefix, "lease/")
+	config.Duration = cmp.Or(config.Duration, defaultDuration)
+	config.Margin = cmp.Or(config.Margin, defaultMargin)
+	config.PollInterval = cmp.Or(config.PollInterval, defaultPollInterval)
+	config.CallTimeout = cmp.Or(config.CallTimeout, defaultCallTimeout)
 	return &Manager{table: t, config: config}
 }
 
-// defaultTo sets target to value if it is zero.
-func defaultTo[T comparable](target *T, value T) {
-	var zero T
-	if *target == zero {
-		*target = value
-	}
-}
-
 // Acquire waits until it acquires the lease or ctx ends. It retries after
 // failures of the table. The error wraps that of ctx and the last failure.
 func (m *Manager) Acquire(ctx context.Context, name string) (*Lease, error) {
--- a/coordination/lease/runner.go
+++ b/coordination/lease/runner.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -35,7 +36,7 @@
 	if err != nil {
 		return result, fmt.Errorf("run under lease: %w", err)
 	}
-	defaultTo(&r.StopMargin, r.Manager.config.Margin)
+	r.StopMargin = cmp.Or(r.StopMargin, r.Manager.config.Margin)
 	workCtx, cancel := context.WithCancelCause(ctx)
 	var group errgroup.Group
 	group.Go(func() error {
--- a/coordination/record/config.go
+++ b/coordination/record/config.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -159,22 +160,22 @@
 
 // setDefaults sets the zero fields to their defaults.
 func (c *Config) setDefaults() {
-	defaultTo(&c.WriteTimeout, 500*time.Millisecond)
-	defaultTo(&c.MinWriteInterval, 7*time.Millisecond)
-	defaultTo(&c.MaxBatch, 128)
-	defaultTo(&c.MaxInFlight, 4)
-	defaultTo(&c.CallTimeout, 200*time.Millisecond)
-	defaultTo(&c.FlushDelay, 500*time.Millisecond)
-	defaultTo(&c.DispatchTimeout, 10*time.Second)
-	defaultTo(&c.MaxInline, 1<<10)
-	defaultTo(&c.PageSize, 64)
-	defaultTo(&c.MaxPending, 16<<10)
-	defaultTo(&c.MaxHeldBytes, 64<<20)
-	defaultTo(&c.MaxRecentBytes, 8<<20)
-	defaultTo(&c.Retention, 24*time.Hour)
-	defaultTo(&c.MaxClockSkew, 5*time.Minute)
-	defaultTo(&c.SweepInterval, 10*time.Minute)
-	defaultTo(&c.MaxRemovals, 200)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 500*time.Millisecond)
+	c.MinWriteInterval = cmp.Or(c.MinWriteInterval, 7*time.Millisecond)
+	c.MaxBatch = cmp.Or(c.MaxBatch, 128)
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, 4)
+	c.CallTimeout = cmp.Or(c.CallTimeout, 200*time.Millisecond)
+	c.FlushDelay = cmp.Or(c.FlushDelay, 500*time.Millisecond)
+	c.DispatchTimeout = cmp.Or(c.DispatchTimeout, 10*time.Second)
+	c.MaxInline = cmp.Or(c.MaxInline, 1<<10)
+	c.PageSize = cmp.Or(c.PageSize, 64)
+	c.MaxPending = cmp.Or(c.MaxPending, 16<<10)
+	c.MaxHeldBytes = cmp.Or(c.MaxHeldBytes, 64<<20)
+	c.MaxRecentBytes = cmp.Or(c.MaxRecentBytes, 8<<20)
+	c.Retention = cmp.Or(c.Retention, 24*time.Hour)
+	c.MaxClockSkew = cmp.Or(c.MaxClockSkew, 5*time.Minute)
+	c.SweepInterval = cmp.Or(c.SweepInterval, 10*time.Minute)
+	c.MaxRemovals = cmp.Or(c.MaxRemovals, 200)
 	if c.Incarnation == "" {
 		c.Incarnation = newIncarnation()
 	}
@@ -187,14 +188,6 @@
 	}
 }
 
-// defaultTo sets a zero field to its default.
-func defaultTo[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Step is a point of a call at which Observe is called.
 type Step string
 
--- a/coordination/table/guard/config.go
+++ b/coordination/table/guard/config.go
@@ -5,6 +5,7 @@
 package guard
 
 import (
+	"cmp"
 	"time"
 
 	"snipetally.example/coordination/table"
@@ -55,25 +56,13 @@
 // withDefaults returns the config with defaults in place of zero fields.
 func (c Config) withDefaults() Config {
 	for kind := range c.Timeout {
-		if c.Timeout[kind] == 0 {
-			c.Timeout[kind] = defaultTimeout
-		}
-	}
-	if c.RateLimitWait == 0 {
-		c.RateLimitWait = defaultRateLimitWait
-	}
-	if c.Failures == 0 {
-		c.Failures = defaultFailures
-	}
-	if c.OpenDuration == 0 {
-		c.OpenDuration = defaultOpenDuration
-	}
-	if c.MaxOpenDuration == 0 {
-		c.MaxOpenDuration = defaultMaxOpenDuration
-	}
-	if c.Jitter == 0 {
-		c.Jitter = defaultJitter
+		c.Timeout[kind] = cmp.Or(c.Timeout[kind], defaultTimeout)
 	}
+	c.RateLimitWait = cmp.Or(c.RateLimitWait, defaultRateLimitWait)
+	c.Failures = cmp.Or(c.Failures, defaultFailures)
+	c.OpenDuration = cmp.Or(c.OpenDuration, defaultOpenDuration)
+	c.MaxOpenDuration = cmp.Or(c.MaxOpenDuration, defaultMaxOpenDuration)
+	c.Jitter = cmp.Or(c.Jitter, defaultJitter)
 	return c
 }
 
--- a/coordination/table/remote/remote.go
+++ b/coordination/table/remote/remote.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -55,19 +56,12 @@
 
 // New returns a Table. Close closes its idle connections.
 func New(config Config) *Table {
-	t := &Table{
+	return &Table{
 		url:              strings.TrimSuffix(config.URL, "/"),
-		timeout:          config.Timeout,
-		maxResponseBytes: config.MaxResponseBytes,
+		timeout:          cmp.Or(config.Timeout, defaultTimeout),
+		maxResponseBytes: cmp.Or(config.MaxResponseBytes, defaultMaxResponseBytes),
 		client:           newClient(),
 	}
-	if t.timeout == 0 {
-		t.timeout = defaultTimeout
-	}
-	if t.maxResponseBytes == 0 {
-		t.maxResponseBytes = defaultMaxResponseBytes
-	}
-	return t
 }
 
 // Close closes idle connections.
--- a/router/internal/attempt/retry.go
+++ b/router/internal/attempt/retry.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"time"
@@ -130,15 +131,9 @@
 
 // withDefaults fills in the zero fields.
 func (p Policy) withDefaults() Policy {
-	if p.MaxAttempts == 0 {
-		p.MaxAttempts = defaultMaxAttempts
-	}
-	if p.BaseBackoff == 0 {
-		p.BaseBackoff = defaultBaseBackoff
-	}
-	if p.MaxBackoff == 0 {
-		p.MaxBackoff = defaultMaxBackoff
-	}
+	p.MaxAttempts = cmp.Or(p.MaxAttempts, defaultMaxAttempts)
+	p.BaseBackoff = cmp.Or(p.BaseBackoff, defaultBaseBackoff)
+	p.MaxBackoff = cmp.Or(p.MaxBackoff, defaultMaxBackoff)
 	return p
 }
 
@@ -159,12 +154,8 @@
 // and accumulates at most burst of them for each class. Zeros get defaults. The
 // budget starts full.
 func NewRetryBudget(fraction, burst float64) *RetryBudget {
-	if fraction == 0 {
-		fraction = defaultFraction
-	}
-	if burst == 0 {
-		burst = defaultBurst
-	}
+	fraction = cmp.Or(fraction, defaultFraction)
+	burst = cmp.Or(burst, defaultBurst)
 	return &RetryBudget{fraction: fraction, burst: burst, total: totalBurstFactor * burst, classes: make(map[string]float64)}
 }
 
--- a/router/internal/attempt/runner.go
+++ b/router/internal/attempt/runner.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -41,9 +42,7 @@
 
 // NewRunner returns a Runner with the given configuration.
 func NewRunner(config Config) *Runner {
-	if config.MaxResponseBytes == 0 {
-		config.MaxResponseBytes = defaultMaxResponseBytes
-	}
+	config.MaxResponseBytes = cmp.Or(config.MaxResponseBytes, defaultMaxResponseBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Runner{config: config, ctx: ctx, cancel: cancel}
 }
--- a/router/internal/link/link.go
+++ b/router/internal/link/link.go
@@ -6,6 +6,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -182,15 +183,9 @@
 
 // withDefaults sets the zero fields of config to their defaults.
 func withDefaults(config Config) Config {
-	if config.ConnectTimeout == 0 {
-		config.ConnectTimeout = defaultConnectTimeout
-	}
-	if config.MaxIdle == 0 {
-		config.MaxIdle = defaultMaxIdle
-	}
-	if config.IdleTimeout == 0 {
-		config.IdleTimeout = defaultIdleTimeout
-	}
+	config.ConnectTimeout = cmp.Or(config.ConnectTimeout, defaultConnectTimeout)
+	config.MaxIdle = cmp.Or(config.MaxIdle, defaultMaxIdle)
+	config.IdleTimeout = cmp.Or(config.IdleTimeout, defaultIdleTimeout)
 	if config.Dial == nil {
 		dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
--- a/router/internal/order/reconciler.go
+++ b/router/internal/order/reconciler.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -40,12 +41,8 @@
 
 // NewReconciler returns a Reconciler that sends orders under the lease l.
 func NewReconciler(engines Engines, l Lease, config Config) *Reconciler {
-	if config.Timeout == 0 {
-		config.Timeout = defaultTimeout
-	}
-	if config.LoadsPerSecond == 0 {
-		config.LoadsPerSecond = defaultLoadsPerSecond
-	}
+	config.Timeout = cmp.Or(config.Timeout, defaultTimeout)
+	config.LoadsPerSecond = cmp.Or(config.LoadsPerSecond, defaultLoadsPerSecond)
 	limiter := rate.NewLimiter(rate.Limit(config.LoadsPerSecond), 1)
 	limiter.Allow()
 	return &Reconciler{engines: engines, lease: l, config: config, loadLimiter: limiter}
--- a/router/internal/schedule/options.go
+++ b/router/internal/schedule/options.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"time"
 
 	"snipetally.example/router/internal/backend"
@@ -107,27 +108,13 @@
 
 // withDefaults replaces zero options by their defaults.
 func (o Options) withDefaults() Options {
-	if o.MaxRequests == 0 {
-		o.MaxRequests = defaultMaxRequests
-	}
-	if o.MaxBytes == 0 {
-		o.MaxBytes = defaultMaxBytes
-	}
-	if o.Period == 0 {
-		o.Period = defaultPeriod
-	}
-	if o.OvercommitTiers == 0 {
-		o.OvercommitTiers = defaultOvercommitTiers
-	}
-	if o.Overcommit == 0 {
-		o.Overcommit = defaultOvercommit
-	}
-	if o.ReserveFactor == 0 {
-		o.ReserveFactor = defaultReserveFactor
-	}
-	if o.ReserveTier == 0 {
-		o.ReserveTier = defaultReserveTier
-	}
+	o.MaxRequests = cmp.Or(o.MaxRequests, defaultMaxRequests)
+	o.MaxBytes = cmp.Or(o.MaxBytes, defaultMaxBytes)
+	o.Period = cmp.Or(o.Period, defaultPeriod)
+	o.OvercommitTiers = cmp.Or(o.OvercommitTiers, defaultOvercommitTiers)
+	o.Overcommit = cmp.Or(o.Overcommit, defaultOvercommit)
+	o.ReserveFactor = cmp.Or(o.ReserveFactor, defaultReserveFactor)
+	o.ReserveTier = cmp.Or(o.ReserveTier, defaultReserveTier)
 	return o
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -6,6 +6,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -129,18 +130,10 @@
 
 // withDefaults returns config with defaults in place of zero values.
 func withDefaults(config Config) Config {
-	if config.Slots == 0 {
-		config.Slots = defaultSlots
-	}
-	if config.CacheBlocks == 0 {
-		config.CacheBlocks = defaultCacheBlocks
-	}
-	if config.TokenLatency == 0 {
-		config.TokenLatency = defaultTokenLatency
-	}
-	if config.PrefillPerBlock == 0 {
-		config.PrefillPerBlock = defaultPrefillPerBlock
-	}
+	config.Slots = cmp.Or(config.Slots, defaultSlots)
+	config.CacheBlocks = cmp.Or(config.CacheBlocks, defaultCacheBlocks)
+	config.TokenLatency = cmp.Or(config.TokenLatency, defaultTokenLatency)
+	config.PrefillPerBlock = cmp.Or(config.PrefillPerBlock, defaultPrefillPerBlock)
 	return config
 }
 
