Name the imports that packages got in their comments

Cause: the comments of eight packages list their imports and lacked coordination/pause, and that of capacity lacked the revisions. Change: they name them. Conclusion: behavior is unchanged.

--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -1,7 +1,7 @@
 // Package lease implements leases in the platform's table service. A lease has
 // one holder at a time and a fencing token that increases with each new holder.
-// The package imports package table, the protobuf runtime, golang.org/x/sync
-// and the standard library.
+// The package imports packages table and pause, the protobuf runtime,
+// golang.org/x/sync and the standard library.
 //
 // A holder counts the duration of its lease from before it sent the write that
 // acquired or renewed it. A successor counts from after it read the row, and
--- a/coordination/record/record.go
+++ b/coordination/record/record.go
@@ -3,9 +3,9 @@
 // by a conditional write before the first byte is sent, except for a call with
 // OutageAttempt while the table is unavailable. Only the router that owns the
 // attempt may dispatch it. The package can be embedded in any router. It
-// imports package table, the error library and the protobuf library, and
-// implements no network protocol: other routers, backend servers and the object
-// store are reached through the interfaces in config.go.
+// imports packages table and pause, the error library and the protobuf library,
+// and implements no network protocol: other routers, backend servers and the
+// object store are reached through the interfaces in config.go.
 package record
 
 import (
--- a/router/internal/attempt/outcome.go
+++ b/router/internal/attempt/outcome.go
@@ -2,7 +2,7 @@
 // reports its exact outcome: whether the request ran, and whether the response
 // that the caller received is complete and belongs to this attempt. It also holds
 // the policy for retries on other servers, whose decisions are pure. The package
-// imports package link, package class, the standard library and the error
+// imports packages link, class and pause, the standard library and the error
 // library. It handles neither the callers' HTTP nor scheduling.
 package attempt
 
--- a/router/internal/capacity/plan.go
+++ b/router/internal/capacity/plan.go
@@ -1,6 +1,7 @@
 // Package capacity builds plans of the deployment sizes for which
 // docs/CAPACITY.md computes what a router costs. Its tests compare that page
-// with the code. Only tests import it; it imports document.
+// with the code. Only tests import it; it imports document and the revisions of
+// coordination.
 package capacity
 
 import (
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -2,7 +2,7 @@
 // the engine protocol of docs/PLATFORM.md, generates a deterministic response for
 // each prompt and injects faults on request. Its timing does not model the speed
 // of a real engine. It imports the standard library, gorilla/mux, xxhash and
-// package network.
+// packages network and pause.
 package engine
 
 import (
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -1,6 +1,6 @@
 // Package platform implements fakes of the platform's table service, object store
 // and VM list over HTTP. It imports the standard library, gorilla/mux,
-// juju/errors and package table with its in-memory implementation.
+// juju/errors, package pause and package table with its in-memory implementation.
 package platform
 
 import (
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -1,7 +1,8 @@
 // Package service implements a fake plain service, that is, one without a model,
 // such as session grants, bookings or plot lookups. It records the requests that
 // it ran, so that tests can compare them with the responses that callers received.
-// It imports the standard library, gorilla/mux and package network.
+// It imports the standard library, gorilla/mux and packages network
+// and pause.
 package service
 
 import (
--- a/try/internal/fault/balancer.go
+++ b/try/internal/fault/balancer.go
@@ -1,6 +1,6 @@
 // Package fault sends traffic to routers that fail, stop and are replaced, and
 // compares the responses that callers received with what backend servers ran. It
-// imports package traffic.
+// imports packages traffic and pause.
 package fault
 
 import (
--- a/try/internal/trial/trial.go
+++ b/try/internal/trial/trial.go
@@ -1,6 +1,6 @@
 // Package trial runs the mixed traffic against a site, makes operator changes
 // under load and checks the guarantees afterwards. It imports packages site,
-// traffic and report.
+// traffic, report and pause.
 package trial
 
 import (
