Name the receiver of RunningAttempt after its type

Cause: its receiver was j, from an earlier name of the type, and its recorder was called both r and rec. Change: the receiver is a, the recorder r, and a new value running. Conclusion: behavior is unchanged.

--- a/coordination/record/decide.go
+++ b/coordination/record/decide.go
@@ -77,8 +77,8 @@
 		return Decision{Kind: Join, Join: r.joinLocal(call, a)}, state
 	}
 	if r.canAsk(s, state) {
-		j := &RunningAttempt{recorder: r, call: call, vm: s.vm, incarnation: s.incarnation, attempt: s.attempt}
-		return Decision{Kind: Join, Join: j}, state
+		running := &RunningAttempt{recorder: r, call: call, vm: s.vm, incarnation: s.incarnation, attempt: s.attempt}
+		return Decision{Kind: Join, Join: running}, state
 	}
 	return r.probe(ctx, loc, s, state)
 }
--- a/coordination/record/join.go
+++ b/coordination/record/join.go
@@ -38,13 +38,13 @@
 }
 
 // VM returns the VM of the router that runs the attempt.
-func (j *RunningAttempt) VM() string {
-	return j.vm
+func (a *RunningAttempt) VM() string {
+	return a.vm
 }
 
 // Attempt returns the id of the attempt.
-func (j *RunningAttempt) Attempt() string {
-	return j.attempt
+func (a *RunningAttempt) Attempt() string {
+	return a.attempt
 }
 
 // joinLocal returns the RunningAttempt for an attempt of this router.
@@ -62,23 +62,23 @@
 // joinClaim returns the RunningAttempt for an attempt that the home of the row
 // knows of.
 func (r *Recorder) joinClaim(call *Call, claim Claim) *RunningAttempt {
-	j := &RunningAttempt{recorder: r, call: call, vm: claim.VM, incarnation: claim.Incarnation, attempt: claim.Attempt}
+	running := &RunningAttempt{recorder: r, call: call, vm: claim.VM, incarnation: claim.Incarnation, attempt: claim.Attempt}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.local = r.attempts[claim.Attempt]
-	return j
+	running.local = r.attempts[claim.Attempt]
+	return running
 }
 
 // Wait waits for the end of the attempt and decides again. The decision is
 // never Join. It is Unknown when the context ends first.
-func (j *RunningAttempt) Wait(ctx context.Context) Decision {
-	r := j.recorder
+func (a *RunningAttempt) Wait(ctx context.Context) Decision {
+	r := a.recorder
 	for {
-		d := j.waitOnce(ctx)
+		d := a.waitOnce(ctx)
 		if d.Kind != Join {
 			return r.countDecision(d)
 		}
-		j = d.Join
+		a = d.Join
 		if !pause.For(ctx, minBackoff) {
 			return r.countDecision(Decision{Kind: Unknown})
 		}
@@ -87,44 +87,44 @@
 
 // waitOnce waits for the end of one attempt and decides. The decision is Join
 // if another attempt runs the key by then.
-func (j *RunningAttempt) waitOnce(ctx context.Context) Decision {
-	r := j.recorder
-	o, err := j.await(ctx)
+func (a *RunningAttempt) waitOnce(ctx context.Context) Decision {
+	r := a.recorder
+	o, err := a.await(ctx)
 	if ctx.Err() != nil && o.State != OutcomeDone {
 		return Decision{Kind: Unknown}
 	}
 	switch {
 	case err != nil:
-		return r.begin(ctx, j.call, beginState{readFirst: true, unresolved: j.attempt})
+		return r.begin(ctx, a.call, beginState{readFirst: true, unresolved: a.attempt})
 	case o.State == OutcomeDone:
 		return r.replay(ctx, &storedOutcome{Outcome: o})
 	case o.State == OutcomeNotRun:
-		return r.begin(ctx, j.call, beginState{readFirst: true, notRun: j.attempt})
+		return r.begin(ctx, a.call, beginState{readFirst: true, notRun: a.attempt})
 	}
-	return r.begin(ctx, j.call, beginState{readFirst: true, unresolved: j.attempt})
+	return r.begin(ctx, a.call, beginState{readFirst: true, unresolved: a.attempt})
 }
 
 // await waits for the end of the attempt at the router that runs it.
-func (j *RunningAttempt) await(ctx context.Context) (Outcome, error) {
-	if j.local != nil {
+func (a *RunningAttempt) await(ctx context.Context) (Outcome, error) {
+	if a.local != nil {
 		select {
-		case <-j.local.ended:
-			return j.local.outcome.Outcome, nil
+		case <-a.local.ended:
+			return a.local.outcome.Outcome, nil
 		case <-ctx.Done():
-			return Outcome{}, fmt.Errorf("await attempt %s: %w", j.attempt, ctx.Err())
+			return Outcome{}, fmt.Errorf("await attempt %s: %w", a.attempt, ctx.Err())
 		}
 	}
-	return j.awaitRemote(ctx)
+	return a.awaitRemote(ctx)
 }
 
 // awaitRemote polls another router, so that a dead connection is noticed.
-func (j *RunningAttempt) awaitRemote(ctx context.Context) (Outcome, error) {
-	rec := j.recorder
-	if rec.config.Peers == nil {
-		return Outcome{}, fmt.Errorf("await attempt %s: %w", j.attempt, ErrUnknownAttempt)
+func (a *RunningAttempt) awaitRemote(ctx context.Context) (Outcome, error) {
+	r := a.recorder
+	if r.config.Peers == nil {
+		return Outcome{}, fmt.Errorf("await attempt %s: %w", a.attempt, ErrUnknownAttempt)
 	}
 	for failures := 0; ; {
-		o, err := j.awaitRemoteOnce(ctx)
+		o, err := a.awaitRemoteOnce(ctx)
 		switch {
 		case err == nil && o.State != OutcomeNone:
 			return o, nil
@@ -141,15 +141,15 @@
 }
 
 // awaitRemoteOnce asks the other router once.
-func (j *RunningAttempt) awaitRemoteOnce(ctx context.Context) (Outcome, error) {
-	r := j.recorder
+func (a *RunningAttempt) awaitRemoteOnce(ctx context.Context) (Outcome, error) {
+	r := a.recorder
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
 	r.config.observe(ctx, StepAwait)
-	o, err := r.config.Peers.Await(ctx, j.vm, j.incarnation, j.attempt)
+	o, err := r.config.Peers.Await(ctx, a.vm, a.incarnation, a.attempt)
 	r.config.observe(ctx, StepAwaitDone)
 	if err != nil {
-		return Outcome{}, fmt.Errorf("await attempt %s at %s: %w", j.attempt, j.vm, err)
+		return Outcome{}, fmt.Errorf("await attempt %s at %s: %w", a.attempt, a.vm, err)
 	}
 	return o, nil
 }
