--- a/coordination/lease/runner.go
+++ b/coordination/lease/runner.go
@@ -1,12 +1,15 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+
+	"snipetally.example/coordination/pause"
 )
 
 // Runner runs work while it holds a lease. T is the type of the result of the
@@ -33,7 +36,7 @@
 	if err != nil {
 		return result, fmt.Errorf("run under lease: %w", err)
 	}
-	defaultTo(&r.StopMargin, r.Manager.config.Margin)
+	r.StopMargin = cmp.Or(r.StopMargin, r.Manager.config.Margin)
 	workCtx, cancel := context.WithCancelCause(ctx)
 	var group errgroup.Group
 	group.Go(func() error {
@@ -71,7 +74,7 @@
 	endTimer := time.AfterFunc(l.Remaining()-r.StopMargin, cancelLost)
 	defer endTimer.Stop()
 	period := r.Manager.config.Duration / 4
-	for sleep(ctx, period) {
+	for pause.For(ctx, period) {
 		err := l.Renew(ctx)
 		if errors.Is(err, ErrLost) || !l.HeldFor(r.StopMargin) {
 			cancelLost()
--- a/router/internal/attempt/runner.go
+++ b/router/internal/attempt/runner.go
@@ -1,10 +1,12 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
+	"snipetally.example/coordination/pause"
 	"snipetally.example/router/internal/link"
 )
 
@@ -40,9 +42,7 @@
 
 // NewRunner returns a Runner with the given configuration.
 func NewRunner(config Config) *Runner {
-	if config.MaxResponseBytes == 0 {
-		config.MaxResponseBytes = defaultMaxResponseBytes
-	}
+	config.MaxResponseBytes = cmp.Or(config.MaxResponseBytes, defaultMaxResponseBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Runner{config: config, ctx: ctx, cancel: cancel}
 }
@@ -65,21 +65,9 @@
 			if r.cancelOnce(l, attempt, try) {
 				return
 			}
-			if !sleep(r.ctx, cancelBackoff<<try) {
+			if !pause.For(r.ctx, cancelBackoff<<try) {
 				return
 			}
 		}
 	})
 }
-
-// sleep waits for d and returns true, or returns false early if the context ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
