Count a router as ready only once it can choose a server

What callers saw: 503 with 'no server' from a router that had just said it was ready. Cause: the plan and the list of servers are stored before the balancer gets them, and readiness looked at the former. In between a request finds no server. Change: readiness waits for the installation in progress. Figures: found as one failure of TestLongestPrefixSelectsClass in 36 runs of all tests of relay, 12 at a time. Conclusion: traced; no test of its own, as the gap can't be widened from outside.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -259,10 +259,15 @@
 
 // ready reports whether callers should be sent to this router.
 func (r *relay) ready() bool {
-	if r.lingerUntil.Load() != 0 || r.index.Load() == nil || len(*r.servers.Load()) == 0 {
-		return false
-	}
-	return !r.disconnected()
+	return r.lingerUntil.Load() == 0 && r.canChoose() && !r.disconnected()
+}
+
+// canChoose reports whether there are a plan and servers. It waits for their
+// installation, after which the balancer knows them too.
+func (r *relay) canChoose() bool {
+	r.installMu.Lock()
+	defer r.installMu.Unlock()
+	return r.index.Load() != nil && len(*r.servers.Load()) > 0
 }
 
 // ServeHTTP implements http.Handler.
