Close the callers' listener before their connections in a stop

Cause: callers on kept connections saw whole requests end with a closed connection when a router stopped, within milliseconds of being sent. After the linger time awaitStop returned as soon as no request was in progress, and Server.Close then closed the listener and all connections at once, also those on which a request had just arrived. Until that moment new connections were accepted and lost in the same way. The log showed nothing, as those requests were not read. Change: after the linger time the callers' listener closes first. At 0.93 of the grace period what is left is cut, as before. Connection: close is now decided when the head of a response is written, so that requests in progress at SIGTERM announce it too. Readiness and operators' addresses stay until the end. New line: "callers' listener closed", with the key connections. Shutdown is ruled out: it closes connections in StateIdle without a look at the socket, and net/http drops a request that it reads after Shutdown was called.

--- a/router/relay/listen.go
+++ b/router/relay/listen.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/juju/errors"
 	"github.com/oklog/run"
 )
 
@@ -50,6 +51,10 @@
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
+	if tcp, ok := listener.(*net.TCPListener); ok && address == n.config.CallerAddress {
+		n.callers = newCallerListener(tcp)
+		listener = n.callers
+	}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -57,12 +62,14 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          n.log.StdLogger(),
+		ConnState:         recordState,
 	}
 	group.Add(func() error {
-		if err := server.Serve(listener); err != nil {
-			return fmt.Errorf("serve %s: %w", address, err)
+		err := server.Serve(listener)
+		if errors.Is(err, net.ErrClosed) {
+			<-ctx.Done() // The node stops; it still serves the connections that are open.
 		}
-		return nil
+		return fmt.Errorf("serve %s: %w", address, err)
 	}, func(error) {
 		if err := server.Close(); err != nil {
 			n.log.Failure(err).Str("address", address).Msg("listener not closed")
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -103,6 +103,9 @@
 	servers     *feed.Follower[Server]
 	broadcaster *loadreport.Broadcaster
 
+	// callers is set by Run.
+	callers *callerListener
+
 	// directory is nil if the node has no address for it.
 	directory *loadreport.Directory
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -243,6 +243,10 @@
 	r.lingerUntil.Store(int64(r.options.clock() + linger))
 }
 
+// leaving reports whether callers should send their next requests to another
+// router.
+func (r *relay) leaving() bool { return r.lingerUntil.Load() != 0 || r.disconnected() }
+
 // inProgress returns the number of requests in progress.
 func (r *relay) inProgress() int64 { return r.inflight.Load() }
 
@@ -265,9 +269,6 @@
 func (r *relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inflight.Add(1)
 	defer r.inflight.Add(-1)
-	if r.lingerUntil.Load() != 0 || r.disconnected() {
-		w.Header().Set("Connection", "close")
-	}
 	p := &proxiedRequest{relay: r, writer: w, request: request, arrivedAt: time.Now()}
 	p.serve()
 }
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -58,6 +58,16 @@
 	if _, ok := to["Content-Type"]; !ok {
 		to["Content-Type"] = nil // Keeps net/http from detecting one.
 	}
+	p.announceClose()
+}
+
+// announceClose says that the connection closes after the response, if the router
+// leaves. It is called as late as possible, for requests that are in progress when
+// the router is told to stop.
+func (p *proxiedRequest) announceClose() {
+	if p.relay.leaving() {
+		p.writer.Header().Set("Connection", "close")
+	}
 }
 
 // writeBuffered writes a response that was read completely.
@@ -117,6 +127,7 @@
 	p.logUnserved(status, reason)
 	p.writer.Header()["Content-Type"] = nil
 	p.writer.Header().Set("Content-Length", "0")
+	p.announceClose()
 	p.writer.WriteHeader(status)
 }
 
--- a/router/relay/shutdown.go
+++ b/router/relay/shutdown.go
@@ -13,14 +13,14 @@
 
 const (
 	// lingerFraction is the fraction of the grace period in which a stopping
-	// node still accepts requests, as callers learn late that it stops.
-	// finishFraction is the fraction after which requests in progress are cut
-	// off.
+	// node still accepts connections and requests, as callers learn late that it
+	// stops. finishFraction is the fraction after which requests in progress are
+	// cut off.
 	lingerFraction = 0.37
 	finishFraction = 0.93
 
-	// drainPollInterval is the interval at which a stopping node checks for
-	// requests in progress.
+	// drainPollInterval is the interval at which a stopping node checks which
+	// connections of callers are silent or closed.
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -30,8 +30,13 @@
 // awaitStop waits for SIGTERM or SIGINT and lets the requests in progress end.
 // From then on the readiness check fails and responses close their connections;
 // requests from callers that have not noticed are still served for the linger
-// time. The line that it logs holds that time in milliseconds in the key
-// linger, and the number of requests in progress in inflight.
+// time. Then the callers' listener is closed, so that no request is sent on a new
+// connection. Requests on open connections are refused. A connection is closed
+// after its last response, or when it has been silent for silenceTime.
+//
+// The first line that it logs holds the linger time in milliseconds in the key
+// linger, and the number of requests in progress in inflight. The second line
+// holds the number of open connections of callers in connections.
 func (n *Node) awaitStop(ctx context.Context) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -47,7 +52,16 @@
 	n.relay.stop(linger)
 	n.log.StateChange().Int64("inflight", n.relay.inProgress()).Dur("linger", linger).Msg("router stopping")
 	sleep(ctx, linger)
-	for n.relay.inProgress() > 0 && n.config.Clock() < finish {
+	if err := n.callers.stopListening(); err != nil {
+		n.log.Failure(err).Msg("callers' listener not closed")
+	}
+	closedAt := time.Now()
+	n.log.StateChange().Int64("inflight", n.relay.inProgress()).
+		Int("connections", n.callers.openConnections()).Msg("callers' listener closed")
+	for !n.callers.drained() && n.config.Clock() < finish && ctx.Err() == nil {
+		if time.Since(closedAt) >= silenceTime {
+			n.callers.closeSilent(time.Now().Add(-silenceTime))
+		}
 		sleep(ctx, drainPollInterval)
 	}
 	return errStopped
