Take a retry for a migration only when there is a place

Cause: a migration took a retry from the budget before it looked whether the stream is still there and another server has room. Without either the retry was lost to the requests of the service. Change: the server is chosen first; without a retry its reservation is released and the stream stays. Conclusion: streams that can't be migrated cost the budget nothing.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -85,9 +85,6 @@
 // empty if there is no other server.
 func (p *proxiedRequest) migrateFrom(server Server) {
 	r := p.relay
-	if !r.retryBudget.Take(time.Now(), p.service) {
-		return
-	}
 	results := r.streams.beginMigration(p, server.ID)
 	if results == nil {
 		return
@@ -103,7 +100,8 @@
 		AnErr("error", migration.err).Msg("stream migration ended")
 }
 
-// migrate picks another server and has the KV cache of the run copied there.
+// migrate picks another server and has the KV cache of the run copied there. It
+// takes a retry from the budget once the server is found.
 func (p *proxiedRequest) migrate(ctx context.Context, server Server) migrationResult {
 	r := p.relay
 	reservation, choice, err := r.balancer.Pick(time.Now(), p.placementRequest, []string{server.ID})
@@ -117,6 +115,11 @@
 		migration.err = fmt.Errorf("%w: server %s gone", errNotMigrated, choice.Server)
 		return migration
 	}
+	if !r.retryBudget.Take(time.Now(), p.service) {
+		reservation.Done(time.Now(), placement.Canceled)
+		migration.err = fmt.Errorf("%w: retry budget used up", errNotMigrated)
+		return migration
+	}
 	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, MigrationRequest{
 		AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address,
 	})
--- a/router/relay/migration_start_test.go
+++ b/router/relay/migration_start_test.go
@@ -1,6 +1,8 @@
 package relay_test
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,3 +43,35 @@
 	time.Sleep(time.Second)
 	g.Expect(calls.Load()).To(gomega.BeZero())
 }
+
+// Guards against retries that are lost to requests because migrations took them
+// that found no place.
+func TestMigrationWithoutPlaceTakesNoRetry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var calls atomic.Int32
+	n := newMigrationNode()
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		countMigrations(&calls)(c)
+		c.Bounds.RetryRatio = 0 // One retry in all.
+	}, 1)
+	n.startStream(t)
+	defer close(n.stopped)
+	n.drain(func(string) bool { return true })
+	n.waitUntil(t, n.logged("stream migration ended", 1))
+	handler := inTurn(rejectRequest, streamEvents(1, 1, true))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set(attemptHeader, req.Header.Get(attemptHeader))
+		handler(w, req)
+	}))
+	defer server.Close()
+	var rows []feed.Change[relay.Server]
+	for _, id := range []string{"new-0", "new-1"} {
+		rows = append(rows, feed.Change[relay.Server]{Key: id, Value: relay.Server{
+			ID: id, Service: "s", Address: server.Listener.Addr().String(), Slots: 4,
+		}})
+	}
+	n.servers.set(rows...)
+	n.waitUntil(t, func() bool { return len(n.stateDump(t)["Servers"].([]any)) == len(rows) })
+	g.Expect(n.call(t, http.MethodPost, "/a/x", "").body).To(gomega.Equal("id: 1\ndata: 1\n\n"))
+	g.Expect(calls.Load()).To(gomega.BeZero())
+}
--- a/router/relay/migration_test.go
+++ b/router/relay/migration_test.go
@@ -26,6 +26,9 @@
 
 	stopped chan struct{}
 
+	// first, unless it is nil, is closed to let engines send their first events.
+	first chan struct{}
+
 	// began receives the IDs of engines that have sent events.
 	began chan string
 
@@ -68,6 +71,9 @@
 			n.resume(w, req)
 			return
 		}
+		if n.first != nil {
+			<-n.first
+		}
 		w.Header().Set(signedHeader, "yes")
 		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 		_ = http.NewResponseController(w).Flush()
