Look again for streams that a leaving server still holds

Cause: streams were looked at once, at 0.3 of the drain timeout. Those without an event by then, and those that last longer than the caller's estimate, stayed until their server exited, and were cut if they may not run again. Change: the streams that are left are looked at again each tenth of the drain timeout up to 0.7. A run that its engine failed to migrate is not tried again.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -13,8 +13,12 @@
 const (
 	// migrationDelayFraction is the fraction of the drain timeout after which
 	// streams are migrated off a draining server. Short streams have ended by
-	// then, and the remaining time is enough for copying the KV caches.
+	// then, and the remaining time is enough for copying the KV caches. The
+	// streams that are left are looked at again each migrationStepFraction until
+	// migrationEndFraction, as some begin late or last longer than expected.
 	migrationDelayFraction = 0.3
+	migrationStepFraction  = 0.1
+	migrationEndFraction   = 0.7
 
 	// migrationTimeout bounds the copying of a run's KV cache.
 	migrationTimeout = 1500 * time.Millisecond
@@ -31,6 +35,9 @@
 	chosenAt    time.Time
 	listAge     time.Duration
 	err         error
+
+	// asked says that the engine of the run was asked to migrate it.
+	asked bool
 }
 
 // migrateStreams migrates streams off a server that drains or is gone, after a
@@ -45,18 +52,28 @@
 	if !ok || !service.SupportsMigration {
 		return
 	}
-	drain := r.bounds.Load().DrainTimeout
-	drainEnd := time.Now().Add(drain)
-	time.AfterFunc(time.Duration(migrationDelayFraction*float64(drain)), func() {
+	since, drain := time.Now(), r.bounds.Load().DrainTimeout
+	var migrate func()
+	migrate = func() {
 		if r.acceptsAgain(server) {
 			return
 		}
 		for p, state := range r.streams.startedOn(server.ID) {
-			if !p.endsBefore(drainEnd, state, service.TokensPerEvent) {
+			if !p.endsBefore(since.Add(drain), state, service.TokensPerEvent) {
 				go p.migrateFrom(server)
 			}
 		}
-	})
+		step := fractionOf(drain, migrationStepFraction)
+		if time.Since(since)+step <= fractionOf(drain, migrationEndFraction) {
+			time.AfterFunc(step, migrate)
+		}
+	}
+	time.AfterFunc(fractionOf(drain, migrationDelayFraction), migrate)
+}
+
+// fractionOf returns a fraction of a duration.
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
 }
 
 // acceptsAgain reports whether a server that was leaving is listed as accepting
@@ -93,7 +110,7 @@
 	defer cancel()
 	migration := p.migrate(ctx, server)
 	if migration.err != nil && migration.kvCopy.Handle == "" {
-		r.streams.cancelMigration(p)
+		r.streams.cancelMigration(p, migration.asked)
 	}
 	results <- migration
 	r.options.log.StateChange().Str("request", p.info.AttemptID).Str("from", server.ID).Str("to", migration.choice.Server).
@@ -120,6 +137,7 @@
 		migration.err = fmt.Errorf("%w: retry budget used up", errNotMigrated)
 		return migration
 	}
+	migration.asked = true
 	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, MigrationRequest{
 		AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address,
 	})
--- a/router/relay/migration_start_test.go
+++ b/router/relay/migration_start_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,3 +76,24 @@
 	g.Expect(n.call(t, http.MethodPost, "/a/x", "").body).To(gomega.Equal("id: 1\ndata: 1\n\n"))
 	g.Expect(calls.Load()).To(gomega.BeZero())
 }
+
+// Guards against streams that are cut when their server exits because they had
+// sent no event when streams were migrated: the first one comes later.
+func TestStreamThatBeginsLateIsMigrated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var calls atomic.Int32
+	n := newMigrationNode()
+	n.first = make(chan struct{})
+	n.start(t, newClass("a", relay.Stream, 1), countMigrations(&calls), 2)
+	go func() { n.end <- n.call(t, http.MethodPost, "/a/x", "") }()
+	n.waitUntil(t, func() bool { return totalArrived(n.backends) == 1 })
+	defer close(n.stopped)
+	n.drain(func(id string) bool {
+		return slices.ContainsFunc(n.backends, func(b *backend) bool { return b.id == id && b.arrived.Load() == 1 })
+	})
+	n.waitUntil(t, n.logged("backend server draining", 1))
+	time.Sleep(800 * time.Millisecond) // Migrations start after 0.6 s.
+	close(n.first)
+	n.source = <-n.began
+	g.Eventually(calls.Load).WithTimeout(time.Second).Should(gomega.Equal(int32(1)))
+}
--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -25,6 +25,10 @@
 	// migration receives the result of the stream's migration. It is nil if
 	// none was started.
 	migration chan migrationResult
+
+	// stays says that the stream's engine failed to migrate it. It is not asked
+	// again.
+	stays bool
 }
 
 // newStreamRegistry returns an empty registry.
@@ -79,14 +83,14 @@
 	return state.migration
 }
 
-// startedOn returns the streams on a server that have sent events and are not
-// being migrated, with their state.
+// startedOn returns the streams on a server that have sent events, are not being
+// migrated and may be, with their state.
 func (s *streamRegistry) startedOn(server string) map[*proxiedRequest]streamState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := make(map[*proxiedRequest]streamState)
 	for p, state := range s.open {
-		if state.server == server && state.events > 0 && state.migration == nil {
+		if state.server == server && state.events > 0 && state.migration == nil && !state.stays {
 			found[p] = *state
 		}
 	}
@@ -108,11 +112,11 @@
 }
 
 // cancelMigration records that a stream was not migrated and continues where it
-// is.
-func (s *streamRegistry) cancelMigration(p *proxiedRequest) {
+// is. If it stays, it is not migrated later either.
+func (s *streamRegistry) cancelMigration(p *proxiedRequest, stays bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state, ok := s.open[p]; ok {
-		state.migration = nil
+		state.migration, state.stays = nil, stays
 	}
 }
