Count the run before a migration that is rejected

Cause: a request that goes on from a copy counts as one run with the run before. If the destination rejected the copy, neither counted, and a request whose class allows one server ran at a second one. Change: the run before counts then. Conclusion: the limit on attempts holds after a rejected migration.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -170,9 +170,13 @@
 	p.executions-- // The migrated run counts once.
 	result, err := p.attempt(ctx, migration.reservation)
 	p.kvCopy = KVCopy{}
-	if result == answered {
+	switch result {
+	case answered:
 		p.recordServed()
 		return true
+	case notExecuted:
+		p.executions++ // The run that stopped at the old server.
+	case incomplete, serverError, callerGone:
 	}
 	p.logRetry(result, err)
 	return false
--- /dev/null
+++ b/router/relay/migration_fail_test.go
@@ -0,0 +1,31 @@
+package relay_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"snipetally.example/router/relay"
+)
+
+// Guards against requests that run at more servers than their class allows: the
+// destination of a migration rejects the copy, and the run before it counts.
+func TestRunBeforeRejectedMigrationCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	class := newClass("a", relay.Stream, 1)
+	class.Resumable = true
+	n := newMigrationNode()
+	n.resume = rejectRequest
+	n.start(t, class, func(c *relay.Config) {
+		c.Migrator = migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
+			close(n.stopped)
+			return relay.KVCopy{Source: request.Source, Handle: "h1"}, nil
+		})
+	}, 3)
+	n.startStream(t)
+	n.drain(func(id string) bool { return id == n.source })
+	end := <-n.end
+	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
+	g.Expect(n.continued).To(gomega.Receive())
+	g.Expect(totalArrived(n.backends)).To(gomega.Equal(2), "the run and the rejected copy")
+}
