Don't continue a migrated run that has no copy

Cause: a response to a migration without a handle counted as a success. The request, which may run once, was sent to the destination without a copy and ran again. Change: such a migration has failed.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -141,6 +141,9 @@
 	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, MigrationRequest{
 		AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address,
 	})
+	if migration.err == nil && migration.kvCopy.Handle == "" {
+		migration.err = fmt.Errorf("%w: engine named no copy", errNotMigrated)
+	}
 	if migration.err != nil {
 		reservation.Done(time.Now(), placement.Canceled)
 	}
--- a/router/relay/migration_fail_test.go
+++ b/router/relay/migration_fail_test.go
@@ -29,3 +29,17 @@
 	g.Expect(n.continued).To(gomega.Receive())
 	g.Expect(totalArrived(n.backends)).To(gomega.Equal(2), "the run and the rejected copy")
 }
+
+// Guards against requests that run twice: a migration that names no copy can't be
+// continued by a request that may run once.
+func TestMigrationWithoutCopyIsNotContinued(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startMigrationNode(t, func(n *migrationNode, _ relay.MigrationRequest) relay.KVCopy {
+		close(n.stopped)
+		return relay.KVCopy{}
+	})
+	n.drain(func(id string) bool { return id == n.source })
+	end := <-n.end
+	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
+	g.Expect(totalArrived(n.backends)).To(gomega.Equal(1))
+}
