Await the copy of a run that may not run again

Cause: a migration was given up after 1.5 s without an answer. The engine stops the run before it copies, so that a stream that may run once was cut, while its copy was complete a moment later. Change: for such a request the copy is awaited until its deadline. Others still go on elsewhere after 1.5 s. Conclusion: the engine's silence no longer cuts such a stream.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -20,7 +20,8 @@
 	migrationStepFraction  = 0.1
 	migrationEndFraction   = 0.7
 
-	// migrationTimeout bounds the copying of a run's KV cache.
+	// migrationTimeout bounds the copying of a run's KV cache if the request may
+	// run again elsewhere instead.
 	migrationTimeout = 1500 * time.Millisecond
 )
 
@@ -106,7 +107,7 @@
 	if results == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(p.request.Context(), migrationTimeout)
+	ctx, cancel := context.WithDeadline(p.request.Context(), p.migrationDeadline())
 	defer cancel()
 	migration := p.migrate(ctx, server)
 	if migration.err != nil && migration.kvCopy.Handle == "" {
@@ -117,6 +118,16 @@
 		AnErr("error", migration.err).Msg("stream migration ended")
 }
 
+// migrationDeadline returns until when the copying of the KV cache is awaited.
+// The run has stopped by then, so that a request that may not run again has
+// nothing else to wait for.
+func (p *proxiedRequest) migrationDeadline() time.Time {
+	if p.class.Retryable() {
+		return time.Now().Add(migrationTimeout)
+	}
+	return p.deadline
+}
+
 // migrate picks another server and has the KV cache of the run copied there. It
 // takes a retry from the budget once the server is found.
 func (p *proxiedRequest) migrate(ctx context.Context, server Server) migrationResult {
--- a/router/relay/migration_fail_test.go
+++ b/router/relay/migration_fail_test.go
@@ -1,7 +1,9 @@
 package relay_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -43,3 +45,35 @@
 	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
 	g.Expect(totalArrived(n.backends)).To(gomega.Equal(1))
 }
+
+// slowMigrator stops a run at once and names the copy after a time, unless the
+// call is canceled before.
+type slowMigrator struct {
+	stopped chan struct{}
+	time    time.Duration
+}
+
+func (m slowMigrator) Migrate(ctx context.Context, request relay.MigrationRequest) (relay.KVCopy, error) {
+	close(m.stopped)
+	select {
+	case <-ctx.Done():
+		return relay.KVCopy{}, ctx.Err()
+	case <-time.After(m.time):
+		return relay.KVCopy{Source: request.Source, Handle: "h1"}, nil
+	}
+}
+
+// Guards against streams that are cut because the copying of their KV cache takes
+// long. The run has stopped, and a stream that may run once has nothing else.
+func TestSlowMigrationIsAwaited(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		c.Migrator = slowMigrator{stopped: n.stopped, time: 1700 * time.Millisecond}
+	}, 2)
+	n.startStream(t)
+	n.drain(func(id string) bool { return id == n.source })
+	end := <-n.end
+	g.Expect(end.err).NotTo(gomega.HaveOccurred())
+	g.Expect(end.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
+}
