Migrate streams by the plan that they began with

Cause: the newest plan decided whether streams are migrated off a leaving server. Those of a service that it no longer names stayed until the server exited and were cut if they may not run again. Change: each stream's own plan decides. Conclusion: a new plan takes no migration from requests in progress.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -43,14 +43,10 @@
 
 // migrateStreams migrates streams off a server that drains or is gone, after a
 // delay in which short streams end. If the server accepts requests again by
-// then, as its entry was gone for a moment only, its streams stay.
+// then, as its entry was gone for a moment only, its streams stay. Whether a
+// stream can be migrated depends on the plan that it began with.
 func (r *relay) migrateStreams(server Server) {
-	index := r.index.Load()
-	if index == nil || r.options.migrator == nil {
-		return
-	}
-	service, ok := index.servicesByName[server.Service]
-	if !ok || !service.SupportsMigration {
+	if r.options.migrator == nil {
 		return
 	}
 	since, drain := time.Now(), r.bounds.Load().DrainTimeout
@@ -60,7 +56,8 @@
 			return
 		}
 		for p, state := range r.streams.startedOn(server.ID) {
-			if !p.endsBefore(since.Add(drain), state, service.TokensPerEvent) {
+			service, ok := p.index.servicesByName[server.Service]
+			if ok && service.SupportsMigration && !p.endsBefore(since.Add(drain), state, service.TokensPerEvent) {
 				go p.migrateFrom(server)
 			}
 		}
--- a/router/relay/migration_start_test.go
+++ b/router/relay/migration_start_test.go
@@ -97,3 +97,18 @@
 	n.source = <-n.began
 	g.Eventually(calls.Load).WithTimeout(time.Second).Should(gomega.Equal(int32(1)))
 }
+
+// Guards against streams that are cut when their server exits because the newest
+// plan no longer names their service. A request keeps the plan that it began with.
+func TestStreamOfARemovedServiceIsMigrated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var calls atomic.Int32
+	n := newMigrationNode()
+	n.start(t, newClass("a", relay.Stream, 1), countMigrations(&calls), 2)
+	n.startStream(t)
+	defer close(n.stopped)
+	n.plans.set(feed.Change[relay.Plan]{Key: "plan", Value: relay.Plan{Version: 2}})
+	n.waitUntil(t, n.logged("plan in force", 2))
+	n.drain(func(id string) bool { return id == n.source })
+	g.Eventually(calls.Load).WithTimeout(2 * time.Second).Should(gomega.Equal(int32(1)))
+}
