Keep streams at a server that started again under its ID

Cause: streams were migrated off a leaving server by its ID. A server that was replaced by another lifetime with the same ID had the streams of that lifetime stopped. Change: if another lifetime is listed, only streams that began before are migrated.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -56,6 +56,9 @@
 			return
 		}
 		for p, state := range r.streams.startedOn(server.ID) {
+			if r.startedAgain(server) && state.addedAt.After(since) {
+				continue // In the new lifetime of the server.
+			}
 			service, ok := p.index.servicesByName[server.Service]
 			if ok && service.SupportsMigration && !p.endsBefore(since.Add(drain), state, service.TokensPerEvent) {
 				go p.migrateFrom(server)
@@ -81,6 +84,13 @@
 	return ok && !current.Draining && current.sameLifetime(server)
 }
 
+// startedAgain reports whether a server that was leaving is listed in another
+// lifetime.
+func (r *relay) startedAgain(server Server) bool {
+	current, ok := (*r.servers.Load())[server.ID]
+	return ok && !current.sameLifetime(server)
+}
+
 // endsBefore reports whether a stream is expected to end before a time at its
 // pace so far. It returns false for a stream that is already longer than
 // expected, as the rest of it can't be estimated.
--- a/router/relay/migration_start_test.go
+++ b/router/relay/migration_start_test.go
@@ -112,3 +112,25 @@
 	n.drain(func(id string) bool { return id == n.source })
 	g.Eventually(calls.Load).WithTimeout(2 * time.Second).Should(gomega.Equal(int32(1)))
 }
+
+// Guards against streams that are moved off a sound server because it has the ID
+// of one that left: a server that started again under its ID.
+func TestStreamOfANewLifetimeStays(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var calls atomic.Int32
+	n := newMigrationNode()
+	n.start(t, newClass("a", relay.Stream, 1), countMigrations(&calls), 2)
+	var rows []feed.Change[relay.Server]
+	for _, b := range n.backends {
+		rows = append(rows, feed.Change[relay.Server]{Key: b.id, Value: relay.Server{
+			ID: b.id, Service: "s", Address: b.server.Listener.Addr().String(), Slots: 4, StartedAt: time.UnixMilli(1),
+		}})
+	}
+	n.servers.set(rows...)
+	n.waitUntil(t, n.logged("backend server removed", 2))
+	time.Sleep(50 * time.Millisecond) // The list is in force right after it is logged.
+	n.startStream(t)
+	defer close(n.stopped)
+	time.Sleep(time.Second) // Migrations start after 0.6 s.
+	g.Expect(calls.Load()).To(gomega.BeZero())
+}
--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -15,7 +15,8 @@
 
 // streamState is the state of a stream's attempt in progress.
 type streamState struct {
-	server string
+	server  string
+	addedAt time.Time
 
 	// events is the number of flushes to the caller, and firstEventAt the time
 	// of the first one.
@@ -43,7 +44,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.open[p] = &streamState{server: server}
+	s.open[p] = &streamState{server: server, addedAt: time.Now()}
 }
 
 // remove unregisters an attempt, unless a migration was started. In that case
