Release a load as what it was reserved as

Cause: a server counts as an engine if the plan in force says so. A plan that no longer names its service, or names it again, while a request is in progress made the balancer release less than it had reserved, or more: the stream stayed in the load for ever. Change: the reservation remembers whether it was made at an engine. Conclusion: versions of the plan no longer change the counted load.

--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -300,7 +300,7 @@
 // The caller holds b.mu.
 func (b *Balancer) reserve(now time.Time, req *Request, svc *service, s *server, cached bool) *Reservation {
 	s.running++
-	r := &Reservation{balancer: b, server: s, service: svc, startedAt: now, class: svc.demand.profile(req.Class), priority: req.Priority, gap: req.Gap}
+	r := &Reservation{balancer: b, server: s, service: svc, startedAt: now, class: svc.demand.profile(req.Class), priority: req.Priority, engine: s.Engine, gap: req.Gap}
 	if s.Engine {
 		r.prefillTokens = req.prefillTokens(cached)
 		r.queuedTokens = s.queuedTokensBefore(req.Priority) + r.prefillTokens
--- a/router/internal/placement/reservation.go
+++ b/router/internal/placement/reservation.go
@@ -12,6 +12,10 @@
 	class     *classProfile
 	priority  int
 
+	// engine says that the capacity was reserved at an engine. The server may
+	// count as plain by the time that it is released, and the other way round.
+	engine bool
+
 	// gap is the pause between events that the request tolerates.
 	gap time.Duration
 
@@ -78,7 +82,7 @@
 	r.firstEventSeen = true
 	r.server.unansweredSince = time.Time{}
 	measured := now.Sub(r.startedAt)
-	if !r.server.Engine {
+	if !r.engine {
 		r.service.plainLatency += time.Duration(plainLatencyWeight * float64(measured-r.service.plainLatency))
 		r.server.observeLatency(now, measured, r.expectedLatency)
 		return true
@@ -125,7 +129,7 @@
 	defer r.balancer.mu.Unlock()
 	s := r.server
 	s.running--
-	if s.Engine {
+	if r.engine {
 		r.class.slots -= r.slotShare
 		r.class.running--
 		s.streams.add(r.gap, -1)
@@ -139,7 +143,7 @@
 	switch outcome {
 	case Served:
 		s.observeOutcome(now, false)
-		if s.Engine {
+		if r.engine {
 			usual := &r.service.residence[r.service.demand.groupOf(r.class.mean)]
 			*usual += residenceWeight * (now.Sub(r.startedAt).Seconds() - *usual)
 		}
