Continue a stream that is migrated a second time

Cause: after a migration the request did not look whether the run was migrated again. If the second server left too, the copy at the third was discarded and the stream cut. Change: the request continues as often as its run is migrated.

--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -168,24 +168,34 @@
 	return migration
 }
 
-// continueMigrated continues a request whose run was migrated. It returns false
-// if none was, or if the attempt at the new server failed as well and another
-// server may be tried.
+// continueMigrated continues a request whose run was migrated, as often as that
+// happens. It returns false if the run was not migrated, or if the attempt at the
+// new server failed as well and another server may be tried.
 func (p *proxiedRequest) continueMigrated(ctx context.Context) bool {
-	results := p.relay.streams.takeMigration(p)
-	if results == nil {
-		return false
-	}
-	var migration migrationResult
-	select {
-	case migration = <-results:
-	case <-ctx.Done():
-		go discardMigration(results)
-		return false
-	}
-	if migration.err != nil {
-		return false
+	for {
+		results := p.relay.streams.takeMigration(p)
+		if results == nil {
+			return false
+		}
+		var migration migrationResult
+		select {
+		case migration = <-results:
+		case <-ctx.Done():
+			go discardMigration(results)
+			return false
+		}
+		if migration.err != nil {
+			return false
+		}
+		if p.attemptMigrated(ctx, migration) {
+			return true
+		}
 	}
+}
+
+// attemptMigrated continues a run at the server that it was migrated to, and
+// reports whether that ended the request.
+func (p *proxiedRequest) attemptMigrated(ctx context.Context, migration migrationResult) bool {
 	p.kvCopy = migration.kvCopy
 	p.recordChoice(migration.choice, migration.chosenAt, migration.listAge)
 	p.executions-- // The migrated run counts once.
--- a/router/relay/migration_fail_test.go
+++ b/router/relay/migration_fail_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +80,36 @@
 	g.Expect(end.err).NotTo(gomega.HaveOccurred())
 	g.Expect(end.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
 }
+
+// Guards against streams that are cut because they were migrated before: their
+// second server leaves too.
+func TestStreamMigratesTwice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	second, stopped := make(chan string, 1), make(chan struct{})
+	n.resume = inTurn(func(w http.ResponseWriter, req *http.Request) {
+		streamEvents(1, 3, true)(w, req)
+		second <- req.Header.Get(instanceHeader)
+		<-stopped
+		panic(http.ErrAbortHandler)
+	}, streamEvents(1, 4, true))
+	var migrations atomic.Int32
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		c.Migrator = migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
+			number := migrations.Add(1)
+			if number == 1 {
+				close(n.stopped)
+			} else {
+				close(stopped)
+			}
+			return relay.KVCopy{Source: request.Source, Handle: fmt.Sprint(number)}, nil
+		})
+	}, 3)
+	n.startStream(t)
+	n.drain(func(id string) bool { return id == n.source })
+	next := <-second
+	n.drain(func(id string) bool { return id == n.source || id == next })
+	end := <-n.end
+	g.Expect(end.err).NotTo(gomega.HaveOccurred())
+	g.Expect(end.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
+}
--- a/router/relay/migration_test.go
+++ b/router/relay/migration_test.go
@@ -55,7 +55,7 @@
 // newMigrationNode returns a migrationNode that is not started.
 func newMigrationNode() *migrationNode {
 	return &migrationNode{
-		end: make(chan reply, 1), stopped: make(chan struct{}), began: make(chan string, 1), continued: make(chan string, 1),
+		end: make(chan reply, 1), stopped: make(chan struct{}), began: make(chan string, 1), continued: make(chan string, 2),
 		resume: streamEvents(1, 4, true),
 	}
 }
