Send a stopped run back to its source if it can't be migrated

Cause: an engine stops a run before it copies the KV cache. If the destination has no room, or rejects the copy, the stream was cut when it may not run again, although the source takes the run back by the same handle. Change: such a request goes on at its source, up to half of the drain timeout after the router learned of the leaving, and takes a retry if the rejected copy had arrived. Conclusion: a migration that fails no longer costs the stream. Not tried with engines of the platform.

--- a/router/internal/placement/reservation.go
+++ b/router/internal/placement/reservation.go
@@ -63,6 +63,15 @@
 	Canceled
 )
 
+// ReserveLeaving returns a reservation for a request that goes back to a server
+// that takes no others. It affects no choice.
+func (b *Balancer) ReserveLeaving(now time.Time, req Request, leaving Server) *Reservation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	leaving.Engine = false // Nothing of its capacity is taken into account.
+	return b.reserve(now, &req, b.service(req.Service), newServer(leaving, now), false)
+}
+
 // RecordFirstEvent records the first event of the answer. Later calls have no
 // effect.
 func (r *Reservation) RecordFirstEvent(now time.Time) {
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -30,6 +30,7 @@
 
 // migrationResult is the result of a migration.
 type migrationResult struct {
+	source      leavingServer
 	kvCopy      KVCopy
 	reservation *placement.Reservation
 	choice      placement.Choice
@@ -49,7 +50,8 @@
 	if r.options.migrator == nil {
 		return
 	}
-	since, drain := time.Now(), r.bounds.Load().DrainTimeout
+	leaving := leavingServer{Server: server, since: time.Now(), drain: r.bounds.Load().DrainTimeout}
+	since, drain := leaving.since, leaving.drain
 	var migrate func()
 	migrate = func() {
 		if r.acceptsAgain(server) {
@@ -61,7 +63,7 @@
 			}
 			service, ok := p.index.servicesByName[server.Service]
 			if ok && service.SupportsMigration && !p.endsBefore(since.Add(drain), state, service.TokensPerEvent) {
-				go p.migrateFrom(server)
+				go p.migrateFrom(leaving)
 			}
 		}
 		step := fractionOf(drain, migrationStepFraction)
@@ -108,7 +110,7 @@
 // outcome when the stream at the old server is cut off. The line that it logs
 // holds the IDs of the old and the new server in the keys from and to; to is
 // empty if there is no other server.
-func (p *proxiedRequest) migrateFrom(server Server) {
+func (p *proxiedRequest) migrateFrom(server leavingServer) {
 	r := p.relay
 	results := r.streams.beginMigration(p, server.ID)
 	if results == nil {
@@ -116,7 +118,8 @@
 	}
 	ctx, cancel := context.WithDeadline(p.request.Context(), p.migrationDeadline())
 	defer cancel()
-	migration := p.migrate(ctx, server)
+	migration := p.migrate(ctx, server.Server)
+	migration.source = server
 	if migration.err != nil && migration.kvCopy.Handle == "" {
 		r.streams.cancelMigration(p, migration.asked)
 	}
@@ -184,22 +187,39 @@
 			go discardMigration(results)
 			return false
 		}
-		if migration.err != nil {
-			return false
-		}
 		if p.attemptMigrated(ctx, migration) {
 			return true
 		}
 	}
 }
 
-// attemptMigrated continues a run at the server that it was migrated to, and
-// reports whether that ended the request.
+// attemptMigrated continues a run at the server that it was migrated to or, if
+// the migration failed or was rejected there, where it stopped. It reports
+// whether that ended the request.
 func (p *proxiedRequest) attemptMigrated(ctx context.Context, migration migrationResult) bool {
+	if migration.err != nil {
+		return p.returnToSource(ctx, migration)
+	}
 	p.kvCopy = migration.kvCopy
 	p.recordChoice(migration.choice, migration.chosenAt, migration.listAge)
 	p.executions-- // The migrated run counts once.
 	result, err := p.attempt(ctx, migration.reservation)
+	if p.finishMigrated(result, err) {
+		return true
+	}
+	if result != notExecuted || !p.mayReturn(migration) {
+		return false
+	}
+	rejected := p.sendDelay > 0 // Otherwise nothing arrived there.
+	if rejected && !p.relay.retryBudget.Take(time.Now(), p.service) {
+		return false
+	}
+	return p.returnToSource(ctx, migration)
+}
+
+// finishMigrated records the result of an attempt that continued a run, and
+// reports whether it ended the request.
+func (p *proxiedRequest) finishMigrated(result attemptResult, err error) bool {
 	p.kvCopy = KVCopy{}
 	switch result {
 	case answered:
