Count the time for writing a response from the response

Cause: the HTTP server's write timeout of 2 min begins when the head of a request was read. A response that is no stream and came later was cut, with a run that may not be repeated, and was logged as served, as nobody looked whether it could be written. Change: the time begins with the response. A buffered response is flushed before its request counts as ended, and one that can't be written counts as abandoned.

--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -60,17 +60,33 @@
 	}
 }
 
-// writeBuffered writes a response that was read completely.
+// writeBuffered writes a response that was read completely, and returns when it
+// was passed on or the caller can't be written to.
 func (p *proxiedRequest) writeBuffered(buffered *bufferedResponse) error {
 	p.copyHeader(buffered.header)
 	if buffered.status != http.StatusNoContent && buffered.status != http.StatusNotModified {
 		p.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	p.headWritten = true
+	if err := p.renewWriteDeadline(); err != nil {
+		return err
+	}
 	p.writer.WriteHeader(buffered.status)
 	if _, err := p.writer.Write(buffered.body); err != nil {
 		return fmt.Errorf("write response: %w", err)
 	}
+	if err := http.NewResponseController(p.writer).Flush(); err != nil {
+		return fmt.Errorf("flush response: %w", err)
+	}
+	return nil
+}
+
+// renewWriteDeadline starts the time in which a response has to be written. The
+// HTTP server counts it from the arrival of the request, which may be long ago.
+func (p *proxiedRequest) renewWriteDeadline() error {
+	if err := http.NewResponseController(p.writer).SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
 	return nil
 }
 
@@ -117,6 +133,9 @@
 	p.logUnserved(status, reason)
 	p.writer.Header()["Content-Type"] = nil
 	p.writer.Header().Set("Content-Length", "0")
+	if err := p.renewWriteDeadline(); err != nil {
+		p.relay.options.log.Request(time.Now(), err).Str("request", p.info.AttemptID).Msg("refusal not written")
+	}
 	p.writer.WriteHeader(status)
 }
 
