--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -48,17 +48,20 @@
 			p.abortAbandoned()
 			return
 		}
-		next = p.placeAfter(ctx, result, replacement, err)
+		next = p.placeAfter(ctx, next, result, replacement, err)
 	}
 }
 
-// placeAfter returns the place for the next attempt after one that failed or was
-// replaced. If there is none, it answers the request and returns nil.
-func (p *proxiedRequest) placeAfter(ctx context.Context, result attemptResult, replacement *place, err error) *place {
+// placeAfter returns the place for the next attempt after one at a place that
+// failed or was replaced. If there is none, it answers the request and returns nil.
+func (p *proxiedRequest) placeAfter(ctx context.Context, last *place, result attemptResult, replacement *place, err error) *place {
 	next, reason := replacement, ""
 	if next == nil {
 		next = p.awaitMigration(ctx)
 	}
+	if next == nil {
+		next = p.placeAfterRejection(last, result)
+	}
 	if next == nil {
 		next, reason = p.retry(ctx, result)
 	}
@@ -72,6 +75,20 @@
 	return next
 }
 
+// placeAfterRejection returns a place at the source of a migrated run that its
+// destination did not accept, or nil.
+func (p *proxiedRequest) placeAfterRejection(last *place, result attemptResult) *place {
+	if result != notExecuted && result != notSent {
+		return nil
+	}
+	back := p.placeAtSource(last)
+	if back != nil && result == notExecuted && !p.relay.retryBudget.Take(time.Now(), p.service) {
+		back.reservation.Done(time.Now(), placement.Canceled)
+		return nil
+	}
+	return back
+}
+
 // retry returns a place for an attempt after one that failed, or the reason why
 // there is none. It takes a retry from the budget, which limits what arrives at
 // servers, only once it has a place and if the last attempt has sent something.
--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -15,7 +15,8 @@
 
 // streamState is the state of a stream's attempt in progress.
 type streamState struct {
-	server string
+	server  string
+	addedAt time.Time
 
 	// events is the number of flushes to the caller, and firstEventAt the time
 	// of the first one.
@@ -25,6 +26,10 @@
 	// migration receives the result of the stream's migration. It is nil if
 	// none was started.
 	migration chan migrationResult
+
+	// stays says that the stream's engine failed to migrate it. It is not asked
+	// again.
+	stays bool
 }
 
 // newStreamRegistry returns an empty registry.
@@ -39,7 +44,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.open[p] = &streamState{server: server}
+	s.open[p] = &streamState{server: server, addedAt: time.Now()}
 }
 
 // remove unregisters an attempt, unless a migration was started. In that case
@@ -79,14 +84,14 @@
 	return state.migration
 }
 
-// startedOn returns the streams on a server that have sent events and are not
-// being migrated, with their state.
+// startedOn returns the streams on a server that have sent events, are not being
+// migrated and may be, with their state.
 func (s *streamRegistry) startedOn(server string) map[*proxiedRequest]streamState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := make(map[*proxiedRequest]streamState)
 	for p, state := range s.open {
-		if state.server == server && state.events > 0 && state.migration == nil {
+		if state.server == server && state.events > 0 && state.migration == nil && !state.stays {
 			found[p] = *state
 		}
 	}
@@ -108,12 +113,12 @@
 }
 
 // cancelMigration records that a stream was not migrated and continues where it
-// is.
-func (s *streamRegistry) cancelMigration(p *proxiedRequest) {
+// is. If it stays, it is not migrated later either.
+func (s *streamRegistry) cancelMigration(p *proxiedRequest, stays bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state, ok := s.open[p]; ok {
-		state.migration = nil
+		state.migration, state.stays = nil, stays
 	}
 }
 
