Ask an engine that stands still a third time for its attempt

What callers saw, on the product's own path: 502 with run unknown, or a stream that ends with an error event, when the engine stood still for 1.5 s; also for calls that run at most once. An attempt without progress was given up once two status queries got no response, 0.9 s together, with nothing in hand. Change: three queries with twice the timeout each, 2.1 s together. Ruled out: no limit (an engine that is gone would hold its slot until the deadline). Figures: TestEngineThatPausesCompletesItsResponse failed before and passes now; the tests of router, of the daemon and of try pass. Conclusion: an attempt at an engine that is silent for good ends 1.2 s later.

--- a/router/internal/attempt/runner.go
+++ b/router/internal/attempt/runner.go
@@ -18,8 +18,9 @@
 	cancelBackoff  = 200 * time.Millisecond
 
 	// maxStatusTries is how often a status query is sent, each time on a new
-	// connection.
-	maxStatusTries = 2
+	// connection and with twice the timeout. A server that stands still for a
+	// second or two answers the last one.
+	maxStatusTries = 3
 
 	defaultMaxResponseBytes = 16 << 20
 	maxErrorBody            = 64 << 10
