Copy a run's KV cache before the run is stopped for a migration

What callers saw: a stream of a leaving server was cut, or paused for the time of the copy, although the server would have served it on. The one call of a migration stopped the run first and looked for room at the destination after that. Without room the run was gone from its server. Change: a first call copies while the run goes on. Only if it succeeds the run is stopped, and only what is new is copied. Without room the stream stays, and the retry is given back; it may be tried again in a later step of the drain. Conclusion: a run is stopped only for a copy that is there.

--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -89,7 +89,11 @@
 // Migrator migrates runs, which are executions of requests, between backend
 // servers.
 type Migrator interface {
-	// Migrate returns when the copy is complete. If it fails and the returned
+	// Copy copies the KV cache of a run while the run goes on. A following call of
+	// Migrate with the same destination copies only what is new.
+	Copy(ctx context.Context, request MigrationRequest) error
+
+	// Migrate stops a run, and returns when the copy is complete. If it fails and the returned
 	// copy has a handle, the run has stopped and its KV cache is still at the
 	// source.
 	Migrate(ctx context.Context, request MigrationRequest) (KVCopy, error)
--- a/router/relay/fakes_test.go
+++ b/router/relay/fakes_test.go
@@ -65,6 +65,8 @@
 // migratorFunc implements relay.Migrator with a function.
 type migratorFunc func(relay.MigrationRequest) (relay.KVCopy, error)
 
+func (m migratorFunc) Copy(context.Context, relay.MigrationRequest) error { return nil }
+
 func (m migratorFunc) Migrate(_ context.Context, request relay.MigrationRequest) (relay.KVCopy, error) {
 	return m(request)
 }
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -35,7 +35,7 @@
 	*place
 	err error
 
-	// asked says that the engine of the run was asked to migrate it.
+	// asked says that the engine of the run was asked to stop it.
 	asked bool
 }
 
@@ -135,7 +135,8 @@
 	return p.deadline
 }
 
-// migrate picks another server and has the KV cache of the run copied there. It
+// migrate picks another server and has the KV cache of the run copied there, first
+// while the run goes on, so that it is not stopped if there is no room for it. It
 // takes a retry from the budget once the server is found.
 func (p *proxiedRequest) migrate(ctx context.Context, server Server) migrationResult {
 	r := p.relay
@@ -150,15 +151,20 @@
 		migration.err = fmt.Errorf("%w: server %s gone", errNotMigrated, choice.Server)
 		return migration
 	}
-	if !r.retryBudget.Take(time.Now(), p.service) {
-		reservation.Done(time.Now(), placement.Canceled)
+	takenAt := time.Now()
+	if !r.retryBudget.Take(takenAt, p.service) {
+		reservation.Done(takenAt, placement.Canceled)
 		migration.err = fmt.Errorf("%w: retry budget used up", errNotMigrated)
 		return migration
 	}
+	request := MigrationRequest{AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address}
+	if migration.err = p.copyRun(ctx, request); migration.err != nil {
+		reservation.Done(time.Now(), placement.Canceled)
+		r.retryBudget.Return(takenAt, p.service)
+		return migration
+	}
 	migration.asked = true
-	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, MigrationRequest{
-		AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address,
-	})
+	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, request)
 	if migration.err == nil && migration.kvCopy.Handle == "" {
 		migration.err = fmt.Errorf("%w: engine named no copy", errNotMigrated)
 	}
@@ -168,6 +174,16 @@
 	return migration
 }
 
+// copyRun copies the KV cache of a run that goes on.
+func (p *proxiedRequest) copyRun(ctx context.Context, request MigrationRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, migrationTimeout)
+	defer cancel()
+	if err := p.relay.options.migrator.Copy(ctx, request); err != nil {
+		return fmt.Errorf("copy run: %w", err)
+	}
+	return nil
+}
+
 // awaitMigration returns the place where a run goes on that was migrated: the
 // server that has the copy of its KV cache or, if the migration failed, the server
 // where the run stopped. It returns nil if there is neither.
--- a/router/relay/migration_fail_test.go
+++ b/router/relay/migration_fail_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/onsi/gomega"
 
 	"snipetally.example/router/relay"
@@ -49,6 +50,46 @@
 	g.Expect(totalArrived(n.backends)).To(gomega.Equal(1))
 }
 
+// fullMigrator finds no room at any destination: copying fails, and so does a
+// migration after it has stopped the run.
+type fullMigrator struct {
+	stopped chan struct{}
+	copies  chan struct{}
+}
+
+// errNoRoom means that a destination has no room for a run.
+const errNoRoom = errors.ConstError("no room")
+
+func (m fullMigrator) Copy(context.Context, relay.MigrationRequest) error {
+	select {
+	case m.copies <- struct{}{}:
+	default:
+	}
+	return errNoRoom
+}
+
+func (m fullMigrator) Migrate(context.Context, relay.MigrationRequest) (relay.KVCopy, error) {
+	close(m.stopped)
+	return relay.KVCopy{}, errNoRoom
+}
+
+// Guards against runs that are stopped for a migration before there is room for
+// them at another server.
+func TestRunGoesOnIfThereIsNoRoomToMigrateIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	copies := make(chan struct{}, 1)
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		c.Migrator = fullMigrator{stopped: n.stopped, copies: copies}
+	}, 2)
+	n.startStream(t)
+	n.drain(func(id string) bool { return id == n.source })
+	g.Eventually(copies, noticeTime).Should(gomega.Receive())
+	g.Consistently(n.end, 200*time.Millisecond).ShouldNot(gomega.Receive(), "the stream goes on")
+	close(n.stopped)
+	<-n.end
+}
+
 // slowMigrator stops a run at once and names the copy after a time, unless the
 // call is canceled before.
 type slowMigrator struct {
@@ -56,6 +97,8 @@
 	time    time.Duration
 }
 
+func (m slowMigrator) Copy(context.Context, relay.MigrationRequest) error { return nil }
+
 func (m slowMigrator) Migrate(ctx context.Context, request relay.MigrationRequest) (relay.KVCopy, error) {
 	close(m.stopped)
 	select {
