Tell others of a load by what was reserved

Cause: after a request the balancer looked whether its server is an engine without the mutex under which a new list of servers changes that. Change: a reservation knows whether it is at an engine, and notifies by itself. Conclusion: no lock is needed there.

--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -230,7 +230,7 @@
 func (b *Balancer) Pick(now time.Time, req Request, tried []string) (*Reservation, Choice, error) {
 	reservation, choice, err := b.pick(now, req, tried)
 	if err == nil {
-		b.notifyLoadChange(reservation.server)
+		reservation.notifyLoadChange()
 	}
 	return reservation, choice, err
 }
--- a/router/internal/placement/load.go
+++ b/router/internal/placement/load.go
@@ -65,10 +65,10 @@
 func (b *Balancer) OnLoadChange(changed func(server uint32)) { b.loadChanged = changed }
 
 // notifyLoadChange calls the function that OnLoadChange set. The caller must not
-// hold b.mu.
-func (b *Balancer) notifyLoadChange(s *server) {
-	if b.loadChanged != nil && s.Engine {
-		b.loadChanged(shortHash(s.hash))
+// hold the balancer's mutex.
+func (r *Reservation) notifyLoadChange() {
+	if r.balancer.loadChanged != nil && r.engine {
+		r.balancer.loadChanged(shortHash(r.server.hash))
 	}
 }
 
--- a/router/internal/placement/reservation.go
+++ b/router/internal/placement/reservation.go
@@ -76,7 +76,7 @@
 // effect.
 func (r *Reservation) RecordFirstEvent(now time.Time) {
 	if r.recordFirstEvent(now) {
-		r.balancer.notifyLoadChange(r.server)
+		r.notifyLoadChange()
 	}
 }
 
@@ -129,7 +129,7 @@
 // Done releases the reservation and records the outcome.
 func (r *Reservation) Done(now time.Time, outcome Outcome) {
 	r.release(now, outcome)
-	r.balancer.notifyLoadChange(r.server)
+	r.notifyLoadChange()
 }
 
 // release does the work of Done except for the notification.
