--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// errStalled is the cancellation cause of an attempt whose server made no
-	// progress.
+	// errStalled is the cancellation cause of an attempt that was given up for a
+	// successor, as its server made no progress.
 	errStalled = errors.ConstError("server stalled")
 
 	// errUnsigned means that a successful response lacks a backend server's
@@ -34,26 +34,6 @@
 	// maxBufferedBytes bounds the body of a response that is buffered
 	// completely before it is forwarded, in bytes.
 	maxBufferedBytes = 1 << 20
-
-	// maxRejections is the number of rejections by servers after which a
-	// request is given up.
-	maxRejections = 3
-
-	// stallFactor and stallTargetFactor bound how long a request waits for the
-	// start of its response before its server counts as stalled. They multiply
-	// the expected time and the latency target of the request's class; the
-	// longer of the two applies.
-	stallFactor       = 8
-	stallTargetFactor = 2
-
-	// gapFactor and gapFloor bound the pause between events of a stream: a
-	// multiple of the class's target gap, but at least the floor.
-	gapFactor = 4
-	gapFloor  = 800 * time.Millisecond
-
-	// minAttemptTime is the least time before the deadline that is worth
-	// another attempt.
-	minAttemptTime = 5 * time.Millisecond
 )
 
 // attemptResult is the result of an attempt at a backend server.
@@ -67,6 +47,9 @@
 	// will.
 	notExecuted
 
+	// notSent means that no byte of the request reached the server.
+	notSent
+
 	// incomplete means that the request may have run and the caller has no
 	// complete response.
 	incomplete
@@ -81,7 +64,7 @@
 
 // resultNames are the names of the results in logs and metrics, in the order of
 // the constants.
-var resultNames = [...]string{"answered", "unexecuted", "broken", "failing", "gone"}
+var resultNames = [...]string{"answered", "unexecuted", "unsent", "broken", "failing", "gone"}
 
 // String returns the name for logs.
 func (r attemptResult) String() string { return resultNames[r] }
@@ -93,104 +76,27 @@
 	body   []byte
 }
 
-// runAttempts makes attempts until one is answered or the request is given up.
-func (p *proxiedRequest) runAttempts(ctx context.Context) {
-	defer p.dropMigration()
-	for {
-		p.askLoads(ctx)
-		reservation, choice, err := p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried)
-		if err != nil {
-			p.handleNoServer(ctx, choice, err)
-			return
-		}
-		p.recordChoice(choice, time.Now(), p.relay.serversAge())
-		result, err := p.attempt(ctx, reservation)
-		p.countAttempt(result)
-		switch {
-		case result == answered:
-			p.recordServed()
-			return
-		case result == callerGone, p.request.Context().Err() != nil:
-			p.abortAbandoned()
-			return
-		}
-		if p.continueMigrated(ctx) {
-			return
-		}
-		if reason := p.stopReason(ctx, result); reason != "" {
-			p.logLastAttempt(result, err)
-			p.finishUnanswered(ctx, reason)
-			return
-		}
-		p.logRetry(result, err)
-	}
-}
-
-// recordChoice records the choice of a server for the next attempt, when it was
-// made, and the age that the list of servers had.
-func (p *proxiedRequest) recordChoice(choice placement.Choice, at time.Time, listAge time.Duration) {
-	p.choice, p.chosenAt, p.listAge = choice, at, listAge
-	p.tried = append(p.tried, choice.Server)
-	p.sendDelay = 0
-}
-
-// askLoads updates the loads of the engines that are considered for the request.
-func (p *proxiedRequest) askLoads(ctx context.Context) {
-	ask := p.relay.options.askLoads
-	if ask == nil || p.class.Kind != Stream {
-		return
-	}
-	if servers := p.relay.balancer.Candidates(time.Now(), p.placementRequest, p.tried); len(servers) > 0 {
-		ask(ctx, servers)
-	}
-}
-
-// handleNoServer ends a request for which there is no server, or none that can
-// answer in time.
-func (p *proxiedRequest) handleNoServer(ctx context.Context, choice placement.Choice, err error) {
-	if errors.Is(err, placement.ErrBusy) && !p.headWritten && p.executions == 0 {
-		p.choice = choice
-		p.refuse(err.Error(), max(choice.ExcessWait, shortRetryDelay))
-		return
-	}
-	p.finishUnanswered(ctx, err.Error())
-}
-
-// stopReason returns why no further attempt is made, or an empty string. In the
-// latter case it takes a retry from the budget.
-func (p *proxiedRequest) stopReason(ctx context.Context, result attemptResult) string {
-	switch {
-	case ctx.Err() != nil || time.Until(p.deadline) < minAttemptTime:
-		return "out of time"
-	case result != notExecuted && !p.class.Retryable():
-		return "may have run"
-	case p.executions >= max(p.class.MaxAttempts, 1):
-		return "attempts used up"
-	case len(p.tried)-p.executions >= maxRejections:
-		return "rejected"
-	case !p.relay.retryBudget.Take(time.Now(), p.service):
-		p.countRetry(false)
-		return "retry budget used up"
-	}
-	p.countRetry(true)
-	p.relay.metrics.retries.Inc(1)
-	return ""
-}
-
-// attempt sends the request to the chosen server and relays the response. It
-// completes the reservation.
-func (p *proxiedRequest) attempt(ctx context.Context, reservation *placement.Reservation) (attemptResult, error) {
-	target, ok := (*p.relay.servers.Load())[p.choice.Server]
+// attempt sends the request to the server of a place and relays the response. It
+// completes the reservation. If the attempt was given up as its server is silent,
+// it returns the place for the next one.
+func (p *proxiedRequest) attempt(ctx context.Context, at *place) (attemptResult, *place, error) {
+	p.recordChoice(at)
+	target, ok := (*p.relay.servers.Load())[at.choice.Server]
 	if !ok {
-		reservation.Done(time.Now(), placement.Canceled)
-		return notExecuted, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
+		at.reservation.Done(time.Now(), placement.Canceled)
+		return notSent, nil, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p.relay.streams.add(p, target.ID)
 	defer p.relay.streams.remove(p)
-	watch := p.watch(reservation, cancel)
-	defer watch.stop()
+	watch := p.watch(ctx, target.ID, at.reservation, cancel)
+	result, err := p.exchange(ctx, target, at.reservation, watch)
+	return result, watch.finish(), err
+}
+
+// exchange makes the exchange of an attempt with a server.
+func (p *proxiedRequest) exchange(ctx context.Context, target *backendServer, reservation *placement.Reservation, watch *watchdog) (attemptResult, error) {
 	target.usage.unanswered.Add(1)
 	response, err := target.pool.Send(ctx, p.hopRequest(target))
 	target.usage.unanswered.Add(-1)
@@ -203,11 +109,25 @@
 	result, err := p.relayResponse(response, reservation, watch)
 	reservation.Done(time.Now(), p.placementOutcome(ctx, result, response))
 	if result != notExecuted {
-		p.executions++
+		p.countExecution()
 	}
 	return result, err
 }
 
+// recordChoice records the choice of a server for the next attempt.
+func (p *proxiedRequest) recordChoice(at *place) {
+	p.choice, p.chosenAt, p.listAge, p.kvCopy = at.choice, at.chosenAt, at.listAge, at.kvCopy
+	p.tried = append(p.tried, at.choice.Server)
+	p.sendDelay = 0
+}
+
+// countExecution counts a run of the request. A run that was migrated counts once.
+func (p *proxiedRequest) countExecution() {
+	if p.kvCopy.Handle == "" {
+		p.executions++
+	}
+}
+
 // placementOutcome maps the result of an attempt to the outcome that the
 // balancer learns from.
 func (p *proxiedRequest) placementOutcome(ctx context.Context, result attemptResult, response *hop.Response) placement.Outcome {
@@ -224,7 +144,7 @@
 			return placement.Canceled
 		}
 		return placement.Failed
-	case callerGone:
+	case notSent, callerGone:
 	}
 	return placement.Canceled
 }
@@ -248,9 +168,9 @@
 		target.pool.CloseIdle()
 	}
 	if !maybeSent {
-		return notExecuted, err
+		return notSent, err
 	}
-	p.executions++
+	p.countExecution()
 	return incomplete, err
 }
 
@@ -305,7 +225,7 @@
 	case success && p.class.Kind == Stream:
 		return p.relayStream(response, reservation, watch)
 	}
-	buffered, err := bufferResponse(response)
+	buffered, err := bufferResponse(response, watch)
 	if err != nil {
 		if info.NotExecuted {
 			return notExecuted, nil
@@ -328,9 +248,9 @@
 }
 
 // bufferResponse reads a response to its end.
-func bufferResponse(response *hop.Response) (*bufferedResponse, error) {
+func bufferResponse(response *hop.Response, watch *watchdog) (*bufferedResponse, error) {
 	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(response, maxBufferedBytes+1))
+	n, err := io.Copy(&body, io.LimitReader(watchedReader{response: response, watch: watch}, maxBufferedBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errTruncated, err)
 	}
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -23,18 +23,16 @@
 // errNotMigrated means that a run could not be migrated.
 const errNotMigrated = errors.ConstError("run not migrated")
 
-// migrationResult is the result of a migration.
+// migrationResult is the result of a migration: the place where the run goes on,
+// or an error. The place is never nil.
 type migrationResult struct {
-	kvCopy      KVCopy
-	reservation *placement.Reservation
-	choice      placement.Choice
-	chosenAt    time.Time
-	listAge     time.Duration
-	err         error
+	*place
+	err error
 }
 
 // migrateStreams migrates streams off a server that drains or is gone, after a
-// delay in which short streams end.
+// delay in which short streams end. If the server accepts requests again by
+// then, as its entry was gone for a moment only, its streams stay.
 func (r *relay) migrateStreams(server Server) {
 	index := r.index.Load()
 	if index == nil || r.options.migrator == nil {
@@ -47,6 +45,9 @@
 	drain := r.bounds.Load().DrainTimeout
 	drainEnd := time.Now().Add(drain)
 	time.AfterFunc(time.Duration(migrationDelayFraction*float64(drain)), func() {
+		if r.acceptsAgain(server) {
+			return
+		}
 		for p, state := range r.streams.startedOn(server.ID) {
 			if !p.endsBefore(drainEnd, state, service.TokensPerEvent) {
 				go p.migrateFrom(server)
@@ -55,6 +56,13 @@
 	})
 }
 
+// acceptsAgain reports whether a server that was leaving is listed as accepting
+// requests in the same lifetime.
+func (r *relay) acceptsAgain(server Server) bool {
+	current, ok := (*r.servers.Load())[server.ID]
+	return ok && !current.Draining && current.sameLifetime(server)
+}
+
 // endsBefore reports whether a stream is expected to end before a time at its
 // pace so far. It returns false for a stream that is already longer than
 // expected, as the rest of it can't be estimated.
@@ -97,9 +105,9 @@
 	r := p.relay
 	reservation, choice, err := r.balancer.Pick(time.Now(), p.placementRequest, []string{server.ID})
 	if err != nil {
-		return migrationResult{err: fmt.Errorf("%w: %w", errNotMigrated, err)}
+		return migrationResult{place: &place{}, err: fmt.Errorf("%w: %w", errNotMigrated, err)}
 	}
-	migration := migrationResult{reservation: reservation, choice: choice, chosenAt: time.Now(), listAge: r.serversAge()}
+	migration := migrationResult{place: p.newPlace(reservation, choice)}
 	target, ok := (*r.servers.Load())[choice.Server]
 	if !ok {
 		reservation.Done(time.Now(), placement.Canceled)
@@ -115,35 +123,23 @@
 	return migration
 }
 
-// continueMigrated continues a request whose run was migrated. It returns false
-// if none was, or if the attempt at the new server failed as well and another
-// server may be tried.
-func (p *proxiedRequest) continueMigrated(ctx context.Context) bool {
+// awaitMigration returns the place where a run goes on that was migrated. It
+// returns nil if none was, or if the migration failed.
+func (p *proxiedRequest) awaitMigration(ctx context.Context) *place {
 	results := p.relay.streams.takeMigration(p)
 	if results == nil {
-		return false
+		return nil
 	}
-	var migration migrationResult
 	select {
-	case migration = <-results:
+	case migration := <-results:
+		if migration.err != nil {
+			return nil
+		}
+		return migration.place
 	case <-ctx.Done():
 		go discardMigration(results)
-		return false
-	}
-	if migration.err != nil {
-		return false
-	}
-	p.kvCopy = migration.kvCopy
-	p.recordChoice(migration.choice, migration.chosenAt, migration.listAge)
-	p.executions-- // The migrated run counts once.
-	result, err := p.attempt(ctx, migration.reservation)
-	p.kvCopy = KVCopy{}
-	if result == answered {
-		p.recordServed()
-		return true
+		return nil
 	}
-	p.logRetry(result, err)
-	return false
 }
 
 // discardMigration waits for a migration whose request has ended and releases
