--- a/coordination/lease/manager.go
+++ b/coordination/lease/manager.go
@@ -1,7 +1,7 @@
 // Package lease implements leases in the platform's table service. A lease has
 // one holder at a time and a fencing token that increases with each new holder.
-// The package imports package table, the protobuf runtime, golang.org/x/sync
-// and the standard library.
+// The package imports packages table and pause, the protobuf runtime,
+// golang.org/x/sync and the standard library.
 //
 // A holder counts the duration of its lease from before it sent the write that
 // acquired or renewed it. A successor counts from after it read the row, and
@@ -11,6 +11,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"fmt"
@@ -19,6 +20,7 @@
 
 	"github.com/juju/errors"
 
+	"snipetally.example/coordination/pause"
 	"snipetally.example/coordination/table"
 )
 
@@ -69,22 +71,14 @@
 
 // NewManager returns a manager of leases in the table.
 func NewManager(t table.Table, config Config) *Manager {
-	defaultTo(&config.Prefix, "lease/")
-	defaultTo(&config.Duration, defaultDuration)
-	defaultTo(&config.Margin, defaultMargin)
-	defaultTo(&config.PollInterval, defaultPollInterval)
-	defaultTo(&config.CallTimeout, defaultCallTimeout)
+	config.Prefix = cmp.Or(config.Prefix, "lease/")
+	config.Duration = cmp.Or(config.Duration, defaultDuration)
+	config.Margin = cmp.Or(config.Margin, defaultMargin)
+	config.PollInterval = cmp.Or(config.PollInterval, defaultPollInterval)
+	config.CallTimeout = cmp.Or(config.CallTimeout, defaultCallTimeout)
 	return &Manager{table: t, config: config}
 }
 
-// defaultTo sets target to value if it is zero.
-func defaultTo[T comparable](target *T, value T) {
-	var zero T
-	if *target == zero {
-		*target = value
-	}
-}
-
 // Acquire waits until it acquires the lease or ctx ends. It retries after
 // failures of the table. The error wraps that of ctx and the last failure.
 func (m *Manager) Acquire(ctx context.Context, name string) (*Lease, error) {
@@ -97,8 +91,8 @@
 		}
 		last = err
 		// Jitter keeps waiting processes from reading the row at the same time.
-		pause := m.config.PollInterval*3/4 + mathrand.N(m.config.PollInterval/2)
-		if !sleep(ctx, pause) {
+		wait := m.config.PollInterval*3/4 + mathrand.N(m.config.PollInterval/2)
+		if !pause.For(ctx, wait) {
 			return nil, fmt.Errorf("acquire lease %q: %w: %w", name, ctx.Err(), last)
 		}
 	}
@@ -187,15 +181,3 @@
 	}
 	return current.version, nil
 }
-
-// sleep waits for d and reports whether ctx is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/record/join.go
+++ b/coordination/record/join.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"snipetally.example/coordination/pause"
 )
 
 const (
@@ -36,13 +38,13 @@
 }
 
 // VM returns the VM of the router that runs the attempt.
-func (j *RunningAttempt) VM() string {
-	return j.vm
+func (a *RunningAttempt) VM() string {
+	return a.vm
 }
 
 // Attempt returns the id of the attempt.
-func (j *RunningAttempt) Attempt() string {
-	return j.attempt
+func (a *RunningAttempt) Attempt() string {
+	return a.attempt
 }
 
 // joinLocal returns the RunningAttempt for an attempt of this router.
@@ -60,24 +62,24 @@
 // joinClaim returns the RunningAttempt for an attempt that the home of the row
 // knows of.
 func (r *Recorder) joinClaim(call *Call, claim Claim) *RunningAttempt {
-	j := &RunningAttempt{recorder: r, call: call, vm: claim.VM, incarnation: claim.Incarnation, attempt: claim.Attempt}
+	running := &RunningAttempt{recorder: r, call: call, vm: claim.VM, incarnation: claim.Incarnation, attempt: claim.Attempt}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.local = r.attempts[claim.Attempt]
-	return j
+	running.local = r.attempts[claim.Attempt]
+	return running
 }
 
 // Wait waits for the end of the attempt and decides again. The decision is
 // never Join. It is Unknown when the context ends first.
-func (j *RunningAttempt) Wait(ctx context.Context) Decision {
-	r := j.recorder
+func (a *RunningAttempt) Wait(ctx context.Context) Decision {
+	r := a.recorder
 	for {
-		d := j.waitOnce(ctx)
+		d := a.waitOnce(ctx)
 		if d.Kind != Join {
 			return r.countDecision(d)
 		}
-		j = d.Join
-		if !sleep(ctx, minBackoff) {
+		a = d.Join
+		if !pause.For(ctx, minBackoff) {
 			return r.countDecision(Decision{Kind: Unknown})
 		}
 	}
@@ -85,44 +87,44 @@
 
 // waitOnce waits for the end of one attempt and decides. The decision is Join
 // if another attempt runs the key by then.
-func (j *RunningAttempt) waitOnce(ctx context.Context) Decision {
-	r := j.recorder
-	o, err := j.await(ctx)
+func (a *RunningAttempt) waitOnce(ctx context.Context) Decision {
+	r := a.recorder
+	o, err := a.await(ctx)
 	if ctx.Err() != nil && o.State != OutcomeDone {
 		return Decision{Kind: Unknown}
 	}
 	switch {
 	case err != nil:
-		return r.begin(ctx, j.call, beginState{readFirst: true, unresolved: j.attempt})
+		return r.begin(ctx, a.call, beginState{readFirst: true, unresolved: a.attempt})
 	case o.State == OutcomeDone:
 		return r.replay(ctx, &storedOutcome{Outcome: o})
 	case o.State == OutcomeNotRun:
-		return r.begin(ctx, j.call, beginState{readFirst: true, notRun: j.attempt})
+		return r.begin(ctx, a.call, beginState{readFirst: true, notRun: a.attempt})
 	}
-	return r.begin(ctx, j.call, beginState{readFirst: true, unresolved: j.attempt})
+	return r.begin(ctx, a.call, beginState{readFirst: true, unresolved: a.attempt})
 }
 
 // await waits for the end of the attempt at the router that runs it.
-func (j *RunningAttempt) await(ctx context.Context) (Outcome, error) {
-	if j.local != nil {
+func (a *RunningAttempt) await(ctx context.Context) (Outcome, error) {
+	if a.local != nil {
 		select {
-		case <-j.local.ended:
-			return j.local.outcome.Outcome, nil
+		case <-a.local.ended:
+			return a.local.outcome.Outcome, nil
 		case <-ctx.Done():
-			return Outcome{}, fmt.Errorf("await attempt %s: %w", j.attempt, ctx.Err())
+			return Outcome{}, fmt.Errorf("await attempt %s: %w", a.attempt, ctx.Err())
 		}
 	}
-	return j.awaitRemote(ctx)
+	return a.awaitRemote(ctx)
 }
 
 // awaitRemote polls another router, so that a dead connection is noticed.
-func (j *RunningAttempt) awaitRemote(ctx context.Context) (Outcome, error) {
-	rec := j.recorder
-	if rec.config.Peers == nil {
-		return Outcome{}, fmt.Errorf("await attempt %s: %w", j.attempt, ErrUnknownAttempt)
+func (a *RunningAttempt) awaitRemote(ctx context.Context) (Outcome, error) {
+	r := a.recorder
+	if r.config.Peers == nil {
+		return Outcome{}, fmt.Errorf("await attempt %s: %w", a.attempt, ErrUnknownAttempt)
 	}
 	for failures := 0; ; {
-		o, err := j.awaitRemoteOnce(ctx)
+		o, err := a.awaitRemoteOnce(ctx)
 		switch {
 		case err == nil && o.State != OutcomeNone:
 			return o, nil
@@ -134,20 +136,20 @@
 		if errors.Is(err, ErrUnknownAttempt) || failures == maxAwaitFailures || ctx.Err() != nil {
 			return Outcome{}, err
 		}
-		sleep(ctx, jitter(maxBackoff))
+		pause.For(ctx, jitter(maxBackoff))
 	}
 }
 
 // awaitRemoteOnce asks the other router once.
-func (j *RunningAttempt) awaitRemoteOnce(ctx context.Context) (Outcome, error) {
-	r := j.recorder
+func (a *RunningAttempt) awaitRemoteOnce(ctx context.Context) (Outcome, error) {
+	r := a.recorder
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
 	r.config.observe(ctx, StepAwait)
-	o, err := r.config.Peers.Await(ctx, j.vm, j.incarnation, j.attempt)
+	o, err := r.config.Peers.Await(ctx, a.vm, a.incarnation, a.attempt)
 	r.config.observe(ctx, StepAwaitDone)
 	if err != nil {
-		return Outcome{}, fmt.Errorf("await attempt %s at %s: %w", j.attempt, j.vm, err)
+		return Outcome{}, fmt.Errorf("await attempt %s at %s: %w", a.attempt, a.vm, err)
 	}
 	return o, nil
 }
@@ -174,182 +176,3 @@
 		return Outcome{}, fmt.Errorf("attempt %s: %w", attempt, ctx.Err())
 	}
 }
-
-// decideFromTable reads the record and decides, or returns the state from which
-// begin continues.
-func (r *Recorder) decideFromTable(ctx context.Context, call *Call, loc location, state beginState) (Decision, beginState) {
-	s, version, err := r.loadRecord(ctx, loc)
-	if err != nil {
-		return r.readAgain(state)
-	}
-	state.readFirst = false
-	state.version = version
-	state.replaces = ""
-	if s == nil {
-		return Decision{}, state
-	}
-	if s.fingerprint != call.Fingerprint {
-		return Decision{Kind: Mismatch}, state
-	}
-	o, err := r.outcomeOf(ctx, s)
-	if err != nil {
-		return r.readAgain(state)
-	}
-	state.replaces = s.attempt
-	return r.decideByOutcome(ctx, call, loc, s, &o, state)
-}
-
-// readAgain returns the state in which begin reads the record again.
-func (r *Recorder) readAgain(state beginState) (Decision, beginState) {
-	state.readFirst = true
-	return Decision{}, state
-}
-
-// outcomeOf returns what is known of the outcome of a record's attempt.
-func (r *Recorder) outcomeOf(ctx context.Context, s *storedRecord) (storedOutcome, error) {
-	if s.settled.State != OutcomeNone {
-		return s.settled, nil
-	}
-	r.mu.Lock()
-	a := r.attempts[s.attempt]
-	if a != nil && a.phase == phaseEnded {
-		o := a.outcome
-		r.mu.Unlock()
-		return o, nil
-	}
-	r.mu.Unlock()
-	if a != nil {
-		return storedOutcome{}, nil
-	}
-	rows, err := readRows(ctx, &r.config, &r.count, s.page)
-	if err != nil {
-		return storedOutcome{}, err
-	}
-	return findOutcome(rows[0].Value, s.attempt)
-}
-
-// decideByOutcome decides by a record and what is known of its outcome.
-func (r *Recorder) decideByOutcome(ctx context.Context, call *Call, loc location, s *storedRecord, o *storedOutcome, state beginState) (Decision, beginState) {
-	switch o.State {
-	case OutcomeDone:
-		return r.replay(ctx, o), state
-	case OutcomeNotRun:
-		state.notRun = s.attempt
-		return Decision{}, state
-	case OutcomeUnknown:
-		return r.probe(ctx, loc, s, state)
-	case OutcomeNone:
-	}
-	if elapsed(s.startedAt) > r.config.Retention {
-		return Decision{Kind: Expired}, state
-	}
-	r.mu.Lock()
-	a := r.attempts[s.attempt]
-	r.mu.Unlock()
-	if a != nil {
-		return Decision{Kind: Join, Join: r.joinLocal(call, a)}, state
-	}
-	if r.canAsk(s, state) {
-		j := &RunningAttempt{recorder: r, call: call, vm: s.vm, incarnation: s.incarnation, attempt: s.attempt}
-		return Decision{Kind: Join, Join: j}, state
-	}
-	return r.probe(ctx, loc, s, state)
-}
-
-// canAsk reports whether the router that runs the attempt may still know its
-// outcome.
-func (r *Recorder) canAsk(s *storedRecord, state beginState) bool {
-	if r.config.Peers == nil || s.attempt == state.unresolved || s.incarnation == r.config.Incarnation {
-		return false
-	}
-	return r.config.Liveness == nil || r.config.Liveness.Live(s.vm, s.incarnation)
-}
-
-// replay decides by an attempt that is done. It reads a large response from the
-// object store.
-func (r *Recorder) replay(ctx context.Context, o *storedOutcome) Decision {
-	if o.Response != nil {
-		return Decision{Kind: Replay, Response: o.Response}
-	}
-	if o.object == "" || r.config.Store == nil {
-		return Decision{Kind: Unknown, Ran: true}
-	}
-	data, err := r.config.Store.Get(ctx, o.object)
-	if err != nil {
-		return Decision{Kind: Unknown, Ran: true}
-	}
-	response, err := decodeResponse(data)
-	if err != nil {
-		return Decision{Kind: Unknown, Ran: true}
-	}
-	return Decision{Kind: Replay, Response: response}
-}
-
-// probe asks the backend server about an attempt whose router can't tell the
-// outcome. Another attempt may run only if the server reports that this one did
-// not run and is refused from now on.
-func (r *Recorder) probe(ctx context.Context, loc location, s *storedRecord, state beginState) (Decision, beginState) {
-	if r.config.Prober == nil || s.target == "" {
-		return Decision{Kind: Unknown}, state
-	}
-	r.count.probes.Add(1)
-	r.config.observe(ctx, StepProbe)
-	report, err := r.config.Prober.Probe(ctx, s.target, s.attempt)
-	r.config.observe(ctx, StepProbeDone)
-	switch {
-	case err != nil:
-		return Decision{Kind: Unknown}, state
-	case report.State == ReportRunning:
-		return Decision{Kind: Unknown, Running: true}, state
-	case report.State == ReportNotRun:
-		state.notRun = s.attempt
-		return Decision{}, state
-	case report.State == ReportDone && report.Response != nil:
-		r.storeProbedResponse(ctx, loc, s, report.Response, state.version)
-		return Decision{Kind: Replay, Response: report.Response}, state
-	case report.State == ReportDone:
-		return Decision{Kind: Unknown, Ran: true}, state
-	}
-	return Decision{Kind: Unknown}, state
-}
-
-// storeProbedResponse stores a response that the backend server reported.
-// Decisions are correct without it, so a failure is ignored.
-func (r *Recorder) storeProbedResponse(ctx context.Context, loc location, s *storedRecord, response *Response, version uint64) {
-	updated := *s
-	updated.settled = storedOutcome{Outcome: Outcome{State: OutcomeDone, Response: response}}
-	if response.size() > r.config.MaxInline {
-		updated.settled = r.storeLargeProbedResponse(ctx, s, response)
-	}
-	value, err := encodeRecord(&updated)
-	if err != nil {
-		return
-	}
-	r.config.observe(ctx, StepReplace)
-	ctx, cancel := context.WithTimeout(ctx, r.config.CallTimeout)
-	defer cancel()
-	r.submit(ctx, Entry{
-		Partner:  loc.partner,
-		Row:      loc.row,
-		Slot:     loc.slot,
-		Value:    value,
-		Version:  version,
-		Replaces: s.attempt,
-		Attempt:  s.attempt,
-	})
-}
-
-// storeLargeProbedResponse stores a large response that the backend server
-// reported in the object store, and returns the outcome that refers to it.
-func (r *Recorder) storeLargeProbedResponse(ctx context.Context, s *storedRecord, response *Response) storedOutcome {
-	o := storedOutcome{Outcome: Outcome{State: OutcomeDone, Omitted: true}}
-	if r.config.Store == nil {
-		return o
-	}
-	object, err := r.storeResponse(ctx, hourString(s.startedAt), s.attempt, response)
-	if err == nil {
-		o.object = object
-		o.Omitted = false
-	}
-	return o
-}
--- a/router/internal/capacity/plan.go
+++ b/router/internal/capacity/plan.go
@@ -1,11 +1,13 @@
 // Package capacity builds plans of the deployment sizes for which
 // docs/CAPACITY.md computes what a router costs. Its tests compare that page
-// with the code. Only tests import it; it imports document.
+// with the code. Only tests import it; it imports document and the revisions of
+// coordination.
 package capacity
 
 import (
 	"fmt"
 
+	"snipetally.example/coordination/revision"
 	"snipetally.example/router/internal/document"
 )
 
@@ -47,6 +49,19 @@
 	}
 }
 
+// Encode returns the first revision of a plan.
+func Encode(p document.Plan) (*revision.Snapshot, error) {
+	changes, err := document.Encode(p)
+	if err != nil {
+		return nil, fmt.Errorf("encode plan: %w", err)
+	}
+	s := &revision.Snapshot{Revision: 1, Documents: make(map[string]revision.Document, len(changes))}
+	for _, change := range changes {
+		s.Documents[change.Key] = revision.Document{Key: change.Key, Value: change.Value, Revision: 1}
+	}
+	return s, nil
+}
+
 // Plan returns the plan of a deployment: a class for each tier, three presets,
 // and engines that are spread evenly over models, zones and partners.
 func Plan(size Size) document.Plan {
--- a/router/internal/measure/engine.go
+++ b/router/internal/measure/engine.go
@@ -25,17 +25,13 @@
 	// Speed is 1 for a healthy engine.
 	Speed float64
 
-	// Fixed is meant for engines that run plain service calls, each of the same
-	// length. Nothing sets or reads it.
-	Fixed time.Duration
-
 	down     bool
 	clockAt  time.Duration
 	clock    float64
-	waiting  waitHeap
+	waiting  attemptHeap
 	prefill  []*Attempt
 	chunkEnd time.Duration
-	decoding decodeHeap
+	decoding attemptHeap
 	cache    *prefixCache
 	sequence int
 	version  int
@@ -55,8 +51,6 @@
 	promptLeft   int
 	index        int
 	state        attemptState
-	submittedAt  time.Duration
-	firstAt      time.Duration
 }
 
 type attemptState uint8
@@ -83,18 +77,26 @@
 
 // newEngine returns an idle engine.
 func newEngine(name string, slots int) *Engine {
-	return &Engine{Name: name, TargetBatch: slots, MaxBatch: slots * 3 / 2, Speed: 1, cache: newPrefixCache(cacheBlocks)}
+	return &Engine{
+		Name:        name,
+		TargetBatch: slots,
+		MaxBatch:    slots * 3 / 2,
+		Speed:       1,
+		waiting:     attemptHeap{goesBefore: isAdmittedBefore},
+		decoding:    attemptHeap{goesBefore: endsBefore},
+		cache:       newPrefixCache(cacheBlocks),
+	}
 }
 
 // outstanding returns the numbers of waiting and of running requests.
 func (e *Engine) outstanding() (waiting, running int) {
-	return len(e.waiting), len(e.prefill) + len(e.decoding)
+	return e.waiting.Len(), len(e.prefill) + e.decoding.Len()
 }
 
 // tokenLatency returns the time between two tokens of a response at the current
 // batch size.
 func (e *Engine) tokenLatency() time.Duration {
-	n := len(e.decoding)
+	n := e.decoding.Len()
 	perToken := float64(baseTokenLatency) + float64(tokenLatencyPerRequest)*float64(n)
 	if len(e.prefill) > 0 {
 		perToken *= prefillSlowdown
@@ -104,7 +106,7 @@
 
 // advance moves the clock of the batch to now.
 func (e *Engine) advance(now time.Duration) {
-	if len(e.decoding) > 0 {
+	if e.decoding.Len() > 0 {
 		e.clock += float64(now-e.clockAt) / float64(e.tokenLatency())
 	}
 	e.clockAt = now
@@ -122,7 +124,7 @@
 
 // admit starts the prefill of waiting attempts while the batch has room.
 func (e *Engine) admit(now time.Duration) {
-	for len(e.waiting) > 0 && len(e.prefill)+len(e.decoding) < e.MaxBatch {
+	for e.waiting.Len() > 0 && len(e.prefill)+e.decoding.Len() < e.MaxBatch {
 		a := heap.Pop(&e.waiting).(*Attempt)
 		a.state = attemptPrefill
 		e.prefill = append(e.prefill, a)
@@ -161,8 +163,8 @@
 	if len(e.prefill) > 0 {
 		at = e.chunkEnd
 	}
-	if len(e.decoding) > 0 {
-		left := max(e.decoding[0].finishClock-e.clock, 0)
+	if e.decoding.Len() > 0 {
+		left := max(e.decoding.attempts[0].finishClock-e.clock, 0)
 		finish := e.clockAt + time.Duration(left*float64(e.tokenLatency())) + time.Microsecond
 		at = min(at, finish)
 	}
@@ -182,7 +184,6 @@
 		first = e.prefill[0]
 		e.prefill = e.prefill[1:]
 		first.state = attemptDecoding
-		first.firstAt = now
 		first.startClock = e.clock
 		first.finishClock = e.clock + float64(first.Job.Length-1)
 		heap.Push(&e.decoding, first)
@@ -191,7 +192,7 @@
 		}
 	}
 	const slack = 1e-6
-	for len(e.decoding) > 0 && e.decoding[0].finishClock <= e.clock+slack {
+	for e.decoding.Len() > 0 && e.decoding.attempts[0].finishClock <= e.clock+slack {
 		a := heap.Pop(&e.decoding).(*Attempt)
 		a.state = attemptDone
 		ended = append(ended, a)
@@ -240,109 +241,12 @@
 func (e *Engine) crash(now time.Duration) []*Attempt {
 	e.advance(now)
 	var lost []*Attempt
-	lost = append(lost, e.waiting...)
+	lost = append(lost, e.waiting.attempts...)
 	lost = append(lost, e.prefill...)
-	lost = append(lost, e.decoding...)
-	e.waiting, e.prefill, e.decoding = nil, nil, nil
+	lost = append(lost, e.decoding.attempts...)
+	e.waiting.attempts, e.prefill, e.decoding.attempts = nil, nil, nil
 	e.cache = newPrefixCache(cacheBlocks)
 	e.down = true
 	e.version++
 	return lost
 }
-
-// waitHeap orders waiting attempts by priority, then by arrival.
-type waitHeap []*Attempt
-
-func (h waitHeap) Len() int { return len(h) }
-func (h waitHeap) Less(i, j int) bool {
-	if h[i].Priority != h[j].Priority {
-		return h[i].Priority < h[j].Priority
-	}
-	return h[i].arrivalOrder < h[j].arrivalOrder
-}
-func (h waitHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-func (h *waitHeap) Push(x any) {
-	a := x.(*Attempt)
-	a.index = len(*h)
-	*h = append(*h, a)
-}
-func (h *waitHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return a
-}
-
-// decodeHeap orders decoding attempts by the clock value at which they end.
-type decodeHeap []*Attempt
-
-func (h decodeHeap) Len() int           { return len(h) }
-func (h decodeHeap) Less(i, j int) bool { return h[i].finishClock < h[j].finishClock }
-func (h decodeHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-func (h *decodeHeap) Push(x any) {
-	a := x.(*Attempt)
-	a.index = len(*h)
-	*h = append(*h, a)
-}
-func (h *decodeHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return a
-}
-
-// prefixCache is a prefix cache that evicts the least recently used blocks.
-type prefixCache struct {
-	limit   int
-	lookups int
-
-	// lastUsed holds, for each cached block, the number of the lookup that last
-	// used it.
-	lastUsed map[uint64]int
-}
-
-// newPrefixCache returns an empty cache for limit blocks.
-func newPrefixCache(limit int) *prefixCache {
-	return &prefixCache{limit: limit, lastUsed: make(map[uint64]int)}
-}
-
-// lookup returns how many leading blocks are cached, and caches all.
-func (c *prefixCache) lookup(prefixes []uint64) int {
-	c.lookups++
-	found := 0
-	for _, p := range prefixes {
-		if _, ok := c.lastUsed[p]; !ok {
-			break
-		}
-		found++
-	}
-	for _, p := range prefixes {
-		c.lastUsed[p] = c.lookups
-	}
-	for len(c.lastUsed) > c.limit {
-		c.evict()
-	}
-	return found
-}
-
-// evict drops an eighth of the blocks, the least recently used ones.
-func (c *prefixCache) evict() {
-	times := make([]int, 0, len(c.lastUsed))
-	for _, used := range c.lastUsed {
-		times = append(times, used)
-	}
-	bound := quantile(times, 8)
-	for p, used := range c.lastUsed {
-		if used <= bound {
-			delete(c.lastUsed, p)
-		}
-	}
-}
--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -254,7 +254,7 @@
 	} else {
 		chosen, best = svc.choosePlain(now, &req, candidates, b.zone)
 	}
-	if chosen.Engine && svc.shouldRefuse(chosen, &req, &best) {
+	if chosen.Engine && !req.Admitted && svc.shouldRefuse(chosen, &req, &best) {
 		svc.recordDemand(now, &req, best.Cached)
 		return nil, best, ErrBusy
 	}
@@ -300,7 +300,7 @@
 // The caller holds b.mu.
 func (b *Balancer) reserve(now time.Time, req *Request, svc *service, s *server, cached bool) *Reservation {
 	s.running++
-	r := &Reservation{balancer: b, server: s, service: svc, startedAt: now, class: svc.demand.profile(req.Class), priority: req.Priority, gap: req.Gap}
+	r := &Reservation{balancer: b, server: s, service: svc, startedAt: now, class: svc.demand.profile(req.Class), priority: req.Priority, engine: s.Engine, gap: req.Gap}
 	if s.Engine {
 		r.prefillTokens = req.prefillTokens(cached)
 		r.queuedTokens = s.queuedTokensBefore(req.Priority) + r.prefillTokens
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -81,7 +81,7 @@
 // it returns the place for the next one.
 func (p *proxiedRequest) attempt(ctx context.Context, at *place) (attemptResult, *place, error) {
 	p.recordChoice(at)
-	target, ok := (*p.relay.servers.Load())[at.choice.Server]
+	target, ok := p.target(at)
 	if !ok {
 		at.reservation.Done(time.Now(), placement.Canceled)
 		return notSent, nil, fmt.Errorf("server %s: %w", p.choice.Server, errors.NotFound)
@@ -91,14 +91,27 @@
 	p.relay.streams.add(p, target.ID)
 	defer p.relay.streams.remove(p)
 	watch := p.watch(ctx, target.ID, at.reservation, cancel)
-	result, err := p.exchange(ctx, target, at.reservation, watch)
+	result, err := p.exchange(ctx, at, target, watch)
 	return result, watch.finish(), err
 }
 
+// target returns the server of a place, and false if it is gone.
+func (p *proxiedRequest) target(at *place) (*backendServer, bool) {
+	if at.atSource {
+		return at.source.backendServer(), true
+	}
+	target, ok := (*p.relay.servers.Load())[at.choice.Server]
+	return target, ok
+}
+
 // exchange makes the exchange of an attempt with a server.
-func (p *proxiedRequest) exchange(ctx context.Context, target *backendServer, reservation *placement.Reservation, watch *watchdog) (attemptResult, error) {
+func (p *proxiedRequest) exchange(ctx context.Context, at *place, target *backendServer, watch *watchdog) (attemptResult, error) {
+	reservation := at.reservation
+	if at.atSource {
+		defer target.pool.Close()
+	}
 	target.usage.unanswered.Add(1)
-	response, err := target.pool.Send(ctx, p.hopRequest(target))
+	response, err := target.pool.Send(ctx, p.hopRequest(at, target))
 	target.usage.unanswered.Add(-1)
 	if err != nil {
 		return p.handleSendError(ctx, reservation, target, err)
@@ -175,7 +188,7 @@
 }
 
 // hopRequest builds the request for a server.
-func (p *proxiedRequest) hopRequest(target *backendServer) hop.Request {
+func (p *proxiedRequest) hopRequest(at *place, target *backendServer) hop.Request {
 	header := p.relay.options.codec.ForwardHeader(endToEnd(p.request.Header), ForwardInfo{
 		InstanceID:  target.ID,
 		Timeout:     time.Until(p.deadline),
@@ -193,7 +206,7 @@
 		Body:    p.body,
 		HasBody: p.hasBody,
 		BeforeWrite: func() error {
-			if !p.relay.accepts(target) {
+			if !p.mayWrite(at, target) {
 				return errServerLeaving
 			}
 			p.sendDelay = time.Since(p.chosenAt)
@@ -206,6 +219,14 @@
 	}
 }
 
+// mayWrite reports whether a request may still be sent to the server of a place.
+func (p *proxiedRequest) mayWrite(at *place, target *backendServer) bool {
+	if at.atSource {
+		return time.Now().Before(at.source.returnEnd())
+	}
+	return p.relay.accepts(target)
+}
+
 // teamName returns the name of the caller's team, or an empty string.
 func (p *proxiedRequest) teamName() string {
 	if p.team == nil {
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -13,10 +13,15 @@
 const (
 	// migrationDelayFraction is the fraction of the drain timeout after which
 	// streams are migrated off a draining server. Short streams have ended by
-	// then, and the remaining time is enough for copying the KV caches.
+	// then, and the remaining time is enough for copying the KV caches. The
+	// streams that are left are looked at again each migrationStepFraction until
+	// migrationEndFraction, as some begin late or last longer than expected.
 	migrationDelayFraction = 0.3
+	migrationStepFraction  = 0.1
+	migrationEndFraction   = 0.7
 
-	// migrationTimeout bounds the copying of a run's KV cache.
+	// migrationTimeout bounds the copying of a run's KV cache if the request may
+	// run again elsewhere instead.
 	migrationTimeout = 1500 * time.Millisecond
 )
 
@@ -24,36 +29,51 @@
 const errNotMigrated = errors.ConstError("run not migrated")
 
 // migrationResult is the result of a migration: the place where the run goes on,
-// or an error. The place is never nil.
+// or an error. The place is never nil. On an error it holds the copy of the KV
+// cache if the run stopped.
 type migrationResult struct {
 	*place
 	err error
+
+	// asked says that the engine of the run was asked to stop it.
+	asked bool
 }
 
 // migrateStreams migrates streams off a server that drains or is gone, after a
 // delay in which short streams end. If the server accepts requests again by
-// then, as its entry was gone for a moment only, its streams stay.
+// then, as its entry was gone for a moment only, its streams stay. Whether a
+// stream can be migrated depends on the plan that it began with.
 func (r *relay) migrateStreams(server Server) {
-	index := r.index.Load()
-	if index == nil || r.options.migrator == nil {
-		return
-	}
-	service, ok := index.servicesByName[server.Service]
-	if !ok || !service.SupportsMigration {
+	if r.options.migrator == nil {
 		return
 	}
-	drain := r.bounds.Load().DrainTimeout
-	drainEnd := time.Now().Add(drain)
-	time.AfterFunc(time.Duration(migrationDelayFraction*float64(drain)), func() {
+	leaving := leavingServer{Server: server, since: time.Now(), drain: r.bounds.Load().DrainTimeout}
+	since, drain := leaving.since, leaving.drain
+	var migrate func()
+	migrate = func() {
 		if r.acceptsAgain(server) {
 			return
 		}
 		for p, state := range r.streams.startedOn(server.ID) {
-			if !p.endsBefore(drainEnd, state, service.TokensPerEvent) {
-				go p.migrateFrom(server)
+			if r.startedAgain(server) && state.addedAt.After(since) {
+				continue // In the new lifetime of the server.
+			}
+			service, ok := p.index.servicesByName[server.Service]
+			if ok && service.SupportsMigration && !p.endsBefore(since.Add(drain), state, service.TokensPerEvent) {
+				go p.migrateFrom(leaving)
 			}
 		}
-	})
+		step := fractionOf(drain, migrationStepFraction)
+		if time.Since(since)+step <= fractionOf(drain, migrationEndFraction) {
+			time.AfterFunc(step, migrate)
+		}
+	}
+	time.AfterFunc(fractionOf(drain, migrationDelayFraction), migrate)
+}
+
+// fractionOf returns a fraction of a duration.
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
 }
 
 // acceptsAgain reports whether a server that was leaving is listed as accepting
@@ -63,6 +83,13 @@
 	return ok && !current.Draining && current.sameLifetime(server)
 }
 
+// startedAgain reports whether a server that was leaving is listed in another
+// lifetime.
+func (r *relay) startedAgain(server Server) bool {
+	current, ok := (*r.servers.Load())[server.ID]
+	return ok && !current.sameLifetime(server)
+}
+
 // endsBefore reports whether a stream is expected to end before a time at its
 // pace so far. It returns false for a stream that is already longer than
 // expected, as the rest of it can't be estimated.
@@ -80,27 +107,37 @@
 // outcome when the stream at the old server is cut off. The line that it logs
 // holds the IDs of the old and the new server in the keys from and to; to is
 // empty if there is no other server.
-func (p *proxiedRequest) migrateFrom(server Server) {
+func (p *proxiedRequest) migrateFrom(server leavingServer) {
 	r := p.relay
-	if !r.retryBudget.Take(time.Now(), p.service) {
-		return
-	}
 	results := r.streams.beginMigration(p, server.ID)
 	if results == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(p.request.Context(), migrationTimeout)
+	ctx, cancel := context.WithDeadline(p.request.Context(), p.migrationDeadline())
 	defer cancel()
-	migration := p.migrate(ctx, server)
+	migration := p.migrate(ctx, server.Server)
+	migration.source = &server
 	if migration.err != nil && migration.kvCopy.Handle == "" {
-		r.streams.cancelMigration(p)
+		r.streams.cancelMigration(p, migration.asked)
 	}
 	results <- migration
 	r.options.log.StateChange().Str("request", p.info.AttemptID).Str("from", server.ID).Str("to", migration.choice.Server).
 		AnErr("error", migration.err).Msg("stream migration ended")
 }
 
-// migrate picks another server and has the KV cache of the run copied there.
+// migrationDeadline returns until when the copying of the KV cache is awaited.
+// The run has stopped by then, so that a request that may not run again has
+// nothing else to wait for.
+func (p *proxiedRequest) migrationDeadline() time.Time {
+	if p.class.Retryable() {
+		return time.Now().Add(migrationTimeout)
+	}
+	return p.deadline
+}
+
+// migrate picks another server and has the KV cache of the run copied there, first
+// while the run goes on, so that it is not stopped if there is no room for it. It
+// takes a retry from the budget once the server is found.
 func (p *proxiedRequest) migrate(ctx context.Context, server Server) migrationResult {
 	r := p.relay
 	reservation, choice, err := r.balancer.Pick(time.Now(), p.placementRequest, []string{server.ID})
@@ -114,17 +151,42 @@
 		migration.err = fmt.Errorf("%w: server %s gone", errNotMigrated, choice.Server)
 		return migration
 	}
-	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, MigrationRequest{
-		AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address,
-	})
+	takenAt := time.Now()
+	if !r.retryBudget.Take(takenAt, p.service) {
+		reservation.Done(takenAt, placement.Canceled)
+		migration.err = fmt.Errorf("%w: retry budget used up", errNotMigrated)
+		return migration
+	}
+	request := MigrationRequest{AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address}
+	if migration.err = p.copyRun(ctx, request); migration.err != nil {
+		reservation.Done(time.Now(), placement.Canceled)
+		r.retryBudget.Return(takenAt, p.service)
+		return migration
+	}
+	migration.asked = true
+	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, request)
+	if migration.err == nil && migration.kvCopy.Handle == "" {
+		migration.err = fmt.Errorf("%w: engine named no copy", errNotMigrated)
+	}
 	if migration.err != nil {
 		reservation.Done(time.Now(), placement.Canceled)
 	}
 	return migration
 }
 
-// awaitMigration returns the place where a run goes on that was migrated. It
-// returns nil if none was, or if the migration failed.
+// copyRun copies the KV cache of a run that goes on.
+func (p *proxiedRequest) copyRun(ctx context.Context, request MigrationRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, migrationTimeout)
+	defer cancel()
+	if err := p.relay.options.migrator.Copy(ctx, request); err != nil {
+		return fmt.Errorf("copy run: %w", err)
+	}
+	return nil
+}
+
+// awaitMigration returns the place where a run goes on that was migrated: the
+// server that has the copy of its KV cache or, if the migration failed, the server
+// where the run stopped. It returns nil if there is neither.
 func (p *proxiedRequest) awaitMigration(ctx context.Context) *place {
 	results := p.relay.streams.takeMigration(p)
 	if results == nil {
@@ -133,7 +195,7 @@
 	select {
 	case migration := <-results:
 		if migration.err != nil {
-			return nil
+			return p.placeAtSource(migration.place)
 		}
 		return migration.place
 	case <-ctx.Done():
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -103,6 +103,9 @@
 	servers     *feed.Follower[Server]
 	broadcaster *loadreport.Broadcaster
 
+	// callers is set by Run.
+	callers *callerListener
+
 	// directory is nil if the node has no address for it.
 	directory *loadreport.Directory
 }
@@ -154,6 +157,7 @@
 		planAsOf:           n.plans.AsOf,
 		serversAsOf:        n.servers.AsOf,
 		planUnreachableFor: n.plans.OutageDuration,
+		routers:            func() (int, time.Time) { return n.broadcaster.MostRouters() },
 		peerHasFresherPlan: func(bound time.Duration) bool { return n.broadcaster.AnyFresherPlan(bound) },
 		log:                n.log,
 		metrics:            n.metrics,
--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -20,9 +20,12 @@
 	// retryTakenAt is when a speculative retry was taken from the budget for it.
 	retryTakenAt time.Time
 
-	// kvCopy is the copy of the run's KV cache at the server, if the run was
-	// migrated.
-	kvCopy KVCopy
+	// kvCopy is the copy of the run's KV cache that the attempt starts from, and
+	// source the server where the run stopped, if it was migrated. atSource says
+	// that the place is at the source.
+	kvCopy   KVCopy
+	source   *leavingServer
+	atSource bool
 }
 
 // newPlace returns a place that was reserved now.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -55,6 +55,9 @@
 	// to be the newest less than the bound ago.
 	peerHasFresherPlan func(bound time.Duration) bool
 
+	// routers counts the routers that were heard.
+	routers retrybudget.RouterCount
+
 	// askLoads updates the balancer's loads of engines, given by their hashes,
 	// and returns within milliseconds. If it is nil, the balancer uses the
 	// other routers' reports.
@@ -119,7 +122,7 @@
 		departures:  newDepartures(),
 	}
 	r.servers.Store(&map[string]*backendServer{})
-	r.bounds.Store(&options.bounds)
+	r.setBounds(options.bounds)
 	return r
 }
 
@@ -183,6 +186,7 @@
 func (r *relay) setBounds(bounds Bounds) {
 	r.bounds.Store(&bounds)
 	r.retryBudget.SetRatio(bounds.RetryRatio)
+	r.retryBudget.SetExtra(bounds.RetryExtra, r.options.routers)
 }
 
 // updateBalancer gives the balancer the servers that accept requests. Whether
@@ -243,6 +247,10 @@
 	r.lingerUntil.Store(int64(r.options.clock() + linger))
 }
 
+// leaving reports whether callers should send their next requests to another
+// router.
+func (r *relay) leaving() bool { return r.lingerUntil.Load() != 0 || r.disconnected() }
+
 // inProgress returns the number of requests in progress.
 func (r *relay) inProgress() int64 { return r.inflight.Load() }
 
@@ -255,19 +263,21 @@
 
 // ready reports whether callers should be sent to this router.
 func (r *relay) ready() bool {
-	if r.lingerUntil.Load() != 0 || r.index.Load() == nil || len(*r.servers.Load()) == 0 {
-		return false
-	}
-	return !r.disconnected()
+	return r.lingerUntil.Load() == 0 && r.canChoose() && !r.disconnected()
+}
+
+// canChoose reports whether there are a plan and servers. It waits for their
+// installation, after which the balancer knows them too.
+func (r *relay) canChoose() bool {
+	r.installMu.Lock()
+	defer r.installMu.Unlock()
+	return r.index.Load() != nil && len(*r.servers.Load()) > 0
 }
 
 // ServeHTTP implements http.Handler.
 func (r *relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inflight.Add(1)
 	defer r.inflight.Add(-1)
-	if r.lingerUntil.Load() != 0 || r.disconnected() {
-		w.Header().Set("Connection", "close")
-	}
 	p := &proxiedRequest{relay: r, writer: w, request: request, arrivedAt: time.Now()}
 	p.serve()
 }
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -14,6 +14,14 @@
 	// reached, after which a request that has not run is refused.
 	maxRejections = 3
 
+	// maxRejectionsAfterRun is the same for a request that may have run. It can't
+	// be refused, so that giving it up loses it.
+	maxRejectionsAfterRun = 8
+
+	// retriedServerDelay is how long a request waits before it goes to a server
+	// that it was tried at before.
+	retriedServerDelay = 100 * time.Millisecond
+
 	// minAttemptTime is the least time before the deadline that is worth
 	// another attempt.
 	minAttemptTime = 5 * time.Millisecond
@@ -40,17 +48,20 @@
 			p.abortAbandoned()
 			return
 		}
-		next = p.placeAfter(ctx, result, replacement, err)
+		next = p.placeAfter(ctx, next, result, replacement, err)
 	}
 }
 
-// placeAfter returns the place for the next attempt after one that failed or was
-// replaced. If there is none, it answers the request and returns nil.
-func (p *proxiedRequest) placeAfter(ctx context.Context, result attemptResult, replacement *place, err error) *place {
+// placeAfter returns the place for the next attempt after one at a place that
+// failed or was replaced. If there is none, it answers the request and returns nil.
+func (p *proxiedRequest) placeAfter(ctx context.Context, last *place, result attemptResult, replacement *place, err error) *place {
 	next, reason := replacement, ""
 	if next == nil {
 		next = p.awaitMigration(ctx)
 	}
+	if next == nil {
+		next = p.placeAfterRejection(last, result)
+	}
 	if next == nil {
 		next, reason = p.retry(ctx, result)
 	}
@@ -64,6 +75,20 @@
 	return next
 }
 
+// placeAfterRejection returns a place at the source of a migrated run that its
+// destination did not accept, or nil.
+func (p *proxiedRequest) placeAfterRejection(last *place, result attemptResult) *place {
+	if result != notExecuted && result != notSent {
+		return nil
+	}
+	back := p.placeAtSource(last)
+	if back != nil && result == notExecuted && !p.relay.retryBudget.Take(time.Now(), p.service) {
+		back.reservation.Done(time.Now(), placement.Canceled)
+		return nil
+	}
+	return back
+}
+
 // retry returns a place for an attempt after one that failed, or the reason why
 // there is none. It takes a retry from the budget, which limits what arrives at
 // servers, only once it has a place and if the last attempt has sent something.
@@ -85,6 +110,10 @@
 
 // stopReason returns why no further attempt may be made, or an empty string.
 func (p *proxiedRequest) stopReason(ctx context.Context) string {
+	limit := maxRejections
+	if p.executions > 0 {
+		limit = maxRejectionsAfterRun
+	}
 	switch {
 	case ctx.Err() != nil || time.Until(p.deadline) < minAttemptTime:
 		return "out of time"
@@ -92,21 +121,24 @@
 		return "may have run"
 	case p.executions >= max(p.class.MaxAttempts, 1):
 		return "attempts used up"
-	case len(p.tried)-p.executions >= maxRejections:
+	case len(p.tried)-p.executions >= limit:
 		return "rejected"
 	}
 	return ""
 }
 
 // choosePlace reserves a place at a server that was not tried. If all servers were
-// tried, a request that may have run goes to another one than the last again. The error says
+// tried, a request that may have run goes to one of them again. The error says
 // why there is no place; if all servers are busy, it sets how much later the
 // caller is asked to retry.
 func (p *proxiedRequest) choosePlace(ctx context.Context) (*place, error) {
+	request := p.placementRequest
+	request.Admitted = p.executions > 0
 	p.askLoads(ctx, p.tried)
-	reservation, choice, err := p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried)
+	reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, p.tried)
 	if p.executions > 0 && errors.Is(err, placement.ErrNoServer) {
-		reservation, choice, err = p.relay.balancer.Pick(time.Now(), p.placementRequest, p.tried[len(p.tried)-1:])
+		sleep(ctx, retriedServerDelay)
+		reservation, choice, err = p.relay.balancer.Pick(time.Now(), request, nil)
 	}
 	if err != nil {
 		if errors.Is(err, placement.ErrBusy) {
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -1,6 +1,6 @@
 // Package platform implements fakes of the platform's table service, object store
 // and VM list over HTTP. It imports the standard library, gorilla/mux,
-// juju/errors and package table with its in-memory implementation.
+// juju/errors, package pause and package table with its in-memory implementation.
 package platform
 
 import (
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/juju/errors"
 
+	"snipetally.example/coordination/pause"
 	"snipetally.example/coordination/table"
 	"snipetally.example/coordination/table/memory"
 )
@@ -100,7 +101,7 @@
 		t.faults = faults[1:]
 	}
 	t.mu.Unlock()
-	if !sleep(r, delay) {
+	if delay > 0 && !pause.For(r.Context(), delay) {
 		return
 	}
 	if unavailable {
@@ -122,21 +123,6 @@
 	}
 }
 
-// sleep waits for d and reports whether the client is still connected.
-func sleep(r *http.Request, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // discardResponse is an http.ResponseWriter that discards the response.
 type discardResponse struct {
 	header http.Header
--- a/try/internal/fault/caller.go
+++ b/try/internal/fault/caller.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"snipetally.example/coordination/pause"
 	"snipetally.example/try/internal/traffic"
 )
 
@@ -102,7 +103,7 @@
 		if !c.shouldRetry(h.Last()) || c.RetryTimeout > 0 && time.Now().After(retryDeadline) {
 			break
 		}
-		if sleep(ctx, retryDelay) != nil {
+		if !pause.For(ctx, retryDelay) {
 			break
 		}
 	}
@@ -140,6 +141,7 @@
 	return append([]History(nil), c.histories...)
 }
 
+// isClosed reports whether a channel on which nothing is sent is closed.
 func isClosed(stop <-chan struct{}) bool {
 	select {
 	case <-stop:
--- a/try/internal/site/command_test.go
+++ b/try/internal/site/command_test.go
@@ -17,6 +17,9 @@
 // readyTimeout bounds the wait for the routers to become ready.
 const readyTimeout = time.Minute
 
+// ordersTimeout bounds the wait for the effect of orders, which follow a lease.
+const ordersTimeout = 2 * time.Minute
+
 func TestSite(t *testing.T) {
 	RegisterFailHandler(Fail)
 	suite, reporter := GinkgoConfiguration()
@@ -59,6 +62,7 @@
 		},
 		Entry("an unknown preset", command.ExitUsage, site.OperatorKey, []string{"preset", "switch", "night"}),
 		Entry("a value out of range", command.ExitUsage, site.OperatorKey, []string{"class", "set", "desk", "floor=3"}),
+		Entry("a base above the newest revision", command.ExitUsage, site.OperatorKey, []string{"preset", "switch", "-base", "99", "peak"}),
 		Entry("an unknown field", command.ExitUsage, site.OperatorKey, []string{"class", "set", "desk", "floors=0.1"}),
 		Entry("a field without a value", command.ExitUsage, site.OperatorKey, []string{"class", "set", "desk", "floor"}),
 		Entry("no name", command.ExitUsage, site.OperatorKey, []string{"backend", "retire"}),
@@ -90,6 +94,19 @@
 		}
 	})
 
+	It("brings an engine to the models of a preset, and back under a preset that does not place it", func() {
+		models := func() []string { return s.ServedModels("assistant-1") }
+		before := []string{"mazungumzo"}
+		switchTo := func(preset string) {
+			code, _, stderr := run(0, site.OperatorKey, "preset", "switch", "-wait", preset)
+			Expect(code).To(Equal(subcommands.ExitSuccess), stderr)
+		}
+		switchTo("peak")
+		Eventually(models).WithTimeout(ordersTimeout).Should(ContainElement("tiketi"))
+		switchTo("day")
+		Eventually(models).WithTimeout(ordersTimeout).Should(ConsistOf(before))
+	})
+
 	It("adds, retires and removes a backend server", func() {
 		code, _, stderr := run(0, site.OperatorKey, "backend", "add", "-wait", "spare", "address=127.0.0.1:9",
 			"zone=local-a", "region=local", "partner=kilele", `models=["mazungumzo"]`, "slots=4")
