Leave a silent server while its callers still wait

Cause: a stream was replaced 1.5 s after its last event at the earliest, and as the router looked for that each 0.25 s, up to 1.65 s after it. Callers give a stream up after 2 s without an event; where all streams of a server move at once, some resumed too late (four callers left 2 s after servers had been cut off and restarted). Change: 1.25 s, and the router looks at that moment. Ruled out: 0.8 s as before the incident (a pause of a second costs a prefill and a retry).

--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -26,7 +26,7 @@
 	// still. A stream at a silent server is not moved earlier if the server is
 	// reachable: the server may still work on it, and the prompt has to be
 	// processed again at another one.
-	maxHealthyPause = 1500 * time.Millisecond
+	maxHealthyPause = 1250 * time.Millisecond
 
 	// catchUpTime is how long a router waits after a limit has passed before it
 	// calls a server silent. If the router itself stood still, it reads in that
@@ -57,8 +57,8 @@
 	replaceable bool
 	tried       []string
 
-	// mu guards the fields below. No other lock is taken while it is held, except
-	// those of the balancer and the retry budget.
+	// mu guards the fields below. The mutexes of the balancer and of the stream
+	// registry may be locked while it is held.
 	mu    sync.Mutex
 	timer *time.Timer
 
@@ -203,8 +203,13 @@
 	if !w.replaceable {
 		return false
 	}
+	remaining := w.replaceAfter(now) - silent
+	if remaining > 0 {
+		w.timer.Reset(min(remaining, silenceCheckInterval))
+		return false
+	}
 	w.timer.Reset(silenceCheckInterval)
-	return w.replaceAfter(now) <= silent && !w.request.relay.streams.migrating(w.request)
+	return !w.request.relay.streams.migrating(w.request)
 }
 
 // replaceAfter returns how long the server may be silent before the attempt is
