Keep connections to a silent host until TCP has sent again

Cause: after a cut of 1.5 s TCP sends again what was lost 3.0 s after the cut began, the moment at which a connection without input was dropped. Change: 4 s for sent bytes and probes, with three probes.

--- a/router/internal/hop/conn.go
+++ b/router/internal/hop/conn.go
@@ -23,17 +23,17 @@
 	// unresponsiveTimeout is how long the host of a server may acknowledge
 	// nothing, neither sent bytes nor keep-alive probes, before the connection
 	// counts as broken. A host that is silent for less may go on, and a request
-	// may run on it only once.
-	unresponsiveTimeout = 3 * time.Second
+	// may run on it only once. After a silence of up to 1.5 s TCP sends again
+	// what was lost up to 3 s after it began.
+	unresponsiveTimeout = 4 * time.Second
 
 	// keepAliveIdle is the time without input after which the first probe is
 	// sent. With unresponsiveTimeout set, Linux drops a connection with an
 	// unanswered probe as soon as there has been no input for that time,
-	// whatever the number of probes. The host has then been silent for at least
-	// two intervals. Other systems count the probes.
+	// whatever the number of probes. Other systems count the probes.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 3
 
 	// defaultIdleTime is how long an idle connection is kept if the server
 	// states no timeout. idleMargin is how much earlier than the server the
