Let a begun stream wait for a retry

Cause: the budget is a rate, and it was asked once. A begun stream has no other way out: its caller can't be told to come back. Change: it asks for up to a second, half of what callers wait for an event. Conclusion: a retry that comes within the second saves the stream.

--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -22,6 +22,12 @@
 	// that it was tried at before.
 	retriedServerDelay = 100 * time.Millisecond
 
+	// retryWait is how long a stream that has begun waits for a retry in the
+	// budget, and retryPollInterval the time between two looks. Callers wait at
+	// least twice as long for an event.
+	retryWait         = time.Second
+	retryPollInterval = 50 * time.Millisecond
+
 	// minAttemptTime is the least time before the deadline that is worth
 	// another attempt.
 	minAttemptTime = 5 * time.Millisecond
@@ -100,7 +106,7 @@
 	if err != nil {
 		return nil, err.Error()
 	}
-	if last != notSent && !p.relay.retryBudget.Take(time.Now(), p.service) {
+	if last != notSent && !p.takeRetry(ctx) {
 		next.reservation.Done(time.Now(), placement.Canceled)
 		p.countRetry(false)
 		return nil, "retry budget used up"
@@ -108,6 +114,22 @@
 	return next, ""
 }
 
+// takeRetry takes a retry from the budget. A stream that has begun waits for one,
+// as its caller can't be told to come back.
+func (p *proxiedRequest) takeRetry(ctx context.Context) bool {
+	waitEnd := time.Now()
+	if p.headWritten {
+		waitEnd = waitEnd.Add(retryWait)
+	}
+	for !p.relay.retryBudget.Take(time.Now(), p.service) {
+		if ctx.Err() != nil || time.Now().Add(retryPollInterval).After(waitEnd) {
+			return false
+		}
+		sleep(ctx, retryPollInterval)
+	}
+	return true
+}
+
 // stopReason returns why no further attempt may be made, or an empty string.
 func (p *proxiedRequest) stopReason(ctx context.Context) string {
 	limit := maxRejections
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -134,3 +134,39 @@
 		})
 	}
 }
+
+// Guards against streams that are cut at the moment when the budget has no retry
+// for them, although the next requests of callers bring one.
+func TestBegunStreamWaitsForARetry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const requestsPerRetry = 4
+	class := newQuickClass(relay.Stream)
+	class.MaxAttempts = 5
+	other := newClass("b", relay.Idempotent, 1)
+	interrupted := make(chan struct{})
+	handler := func(w http.ResponseWriter, req *http.Request) {
+		switch {
+		case req.URL.Path == "/b/x":
+			respond("ok")(w, req)
+		case req.Header.Get(lastEventHeader) == "":
+			streamEvents(1, 2, false)(w, req)
+		case req.Header.Get(lastEventHeader) == "2":
+			close(interrupted)
+			streamEvents(1, 3, false)(w, req)
+		default:
+			streamEvents(1, 4, true)(w, req)
+		}
+	}
+	r, _ := startConfiguredNode(t, func(c *relay.Config) { c.Bounds.RetryRatio = 1.0 / requestsPerRetry },
+		newPlan(class, other), handler, handler)
+	end := make(chan reply, 1)
+	go func() { end <- r.call(t, http.MethodPost, "/a/x", "") }()
+	<-interrupted // The first retry, which is always allowed, is used up.
+	time.Sleep(200 * time.Millisecond)
+	for range 3 * requestsPerRetry {
+		g.Expect(r.call(t, http.MethodGet, "/b/x", "").body).To(gomega.Equal("ok"))
+	}
+	got := <-end
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.body).To(gomega.Equal(fourEvents))
+}
