Close silent connections last in a planned stop

Cause: connections without a request were closed 0.5 s after the listener, while others still had streams in progress for seconds. Change: they are closed when no request is in progress any more; until then a request on them is refused with a time to come back, as before this work. Conclusion: closings that requests can cross come at the end only.

--- a/router/relay/shutdown.go
+++ b/router/relay/shutdown.go
@@ -32,7 +32,8 @@
 // requests from callers that have not noticed are still served for the linger
 // time. Then the callers' listener is closed, so that no request is sent on a new
 // connection. Requests on open connections are refused. A connection is closed
-// after its last response, or when it has been silent for silenceTime.
+// after its last response. Those that are silent are closed last, when no request
+// is in progress, as a request may cross the closing.
 //
 // The first line that it logs holds the linger time in milliseconds in the key
 // linger, and the number of requests in progress in inflight. The second line
@@ -59,7 +60,7 @@
 	n.log.StateChange().Int64("inflight", n.relay.inProgress()).
 		Int("connections", n.callers.openConnections()).Msg("callers' listener closed")
 	for !n.callers.drained() && n.config.Clock() < finish && ctx.Err() == nil {
-		if time.Since(closedAt) >= silenceTime {
+		if time.Since(closedAt) >= silenceTime && n.relay.inProgress() == 0 {
 			n.callers.closeSilent(time.Now().Add(-silenceTime))
 		}
 		sleep(ctx, drainPollInterval)
