Notice a silence after the first event of a stream in time

Cause: since the timer of a watchdog kept running with the limit for the start of a response when the first event arrived. Change: the first byte restarts the timer with the limit for pauses.

--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -134,3 +134,23 @@
 		})
 	}
 }
+
+// Guards against streams whose server is silent after the first event, and that
+// wait until the limit for that event is over: it may be far longer than the limit
+// for later ones.
+func TestSilenceAfterTheFirstEventIsNoticedInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	servers := &silentServers{goOn: make(chan struct{})}
+	class := newQuickClass(relay.Stream)
+	class.TargetLatency = time.Minute
+	r, _ := startNode(t, newPlan(class), servers.pauseInStream)
+	goOn := sync.OnceFunc(func() { close(servers.goOn) })
+	t.Cleanup(goOn)
+	end := make(chan reply, 1)
+	go func() { end <- r.call(t, http.MethodPost, "/a/x", "") }()
+	g.Eventually(r.logged("server silent", 1), noticeTime).Should(gomega.BeTrue())
+	goOn()
+	got := <-end
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.body).To(gomega.Equal(fourEvents))
+}
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -133,9 +133,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.waiting = false
-	if n > 0 {
+	if n > 0 && !w.begun {
 		w.begun = true
 		w.limit = w.request.gapLimit()
+		w.timer.Reset(w.limit) // The limit for the start may be far longer.
 	}
 }
 
