Start no migration of a stream that is given up for a place elsewhere

Cause: the watchdog asked whether a migration was in progress before it secured a place, but not when it gave the attempt up. A migration that began between was never awaited: the next attempt replaced its entry in the registry, so that the place at its destination stayed reserved for good and the copy was left there. Change: giving an attempt up removes it from the registry, or fails if a migration was started, under one lock. The comment on watchdog.mu names the locks that are taken. Conclusion: a stream is either migrated or replaced.

--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -52,7 +52,7 @@
 func (s *streamRegistry) remove(p *proxiedRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state, ok := s.open[p]; ok && state.migration == nil {
+	if !s.isMigrating(p) {
 		delete(s.open, p)
 	}
 }
@@ -126,6 +126,24 @@
 func (s *streamRegistry) migrating(p *proxiedRequest) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.isMigrating(p)
+}
+
+// removeUnlessMigrating unregisters an attempt that is given up, so that no
+// migration of it can start, and returns true. If one was started, it returns false
+// and does nothing.
+func (s *streamRegistry) removeUnlessMigrating(p *proxiedRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isMigrating(p) {
+		return false
+	}
+	delete(s.open, p)
+	return true
+}
+
+// isMigrating is migrating for callers that hold s.mu.
+func (s *streamRegistry) isMigrating(p *proxiedRequest) bool {
 	state, ok := s.open[p]
 	return ok && state.migration != nil
 }
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -57,8 +57,8 @@
 	replaceable bool
 	tried       []string
 
-	// mu guards the fields below. No other lock is taken while it is held, except
-	// those of the balancer and the retry budget.
+	// mu guards the fields below. The locks of the balancer, the stream registry and
+	// the log may be taken while it is held, but not it while one of them is.
 	mu    sync.Mutex
 	timer *time.Timer
 
@@ -224,7 +224,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := time.Since(w.progressAt)
-	if next == nil || w.ended || !w.waiting || silent < w.limit {
+	if next == nil || w.ended || !w.waiting || silent < w.limit || !w.request.relay.streams.removeUnlessMigrating(w.request) {
 		return false
 	}
 	w.ended, w.replacement = true, next
