--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -57,8 +57,8 @@
 	replaceable bool
 	tried       []string
 
-	// mu guards the fields below. The mutexes of the balancer and of the stream
-	// registry may be locked while it is held.
+	// mu guards the fields below. The locks of the balancer, the stream registry and
+	// the log may be taken while it is held, but not it while one of them is.
 	mu    sync.Mutex
 	timer *time.Timer
 
@@ -133,9 +133,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.waiting = false
-	if n > 0 {
+	if n > 0 && !w.begun {
 		w.begun = true
 		w.limit = w.request.gapLimit()
+		w.timer.Reset(w.limit) // The limit for the start may be far longer.
 	}
 }
 
@@ -228,7 +229,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	silent := time.Since(w.progressAt)
-	if next == nil || w.ended || !w.waiting || silent < w.limit {
+	if next == nil || w.ended || !w.waiting || silent < w.limit || !w.request.relay.streams.removeUnlessMigrating(w.request) {
 		return false
 	}
 	w.ended, w.replacement = true, next
