Don't count refused connections against a run

What callers saw: a resumable stream cut after 0.84 s while its only server started again. Cause: a connection that is refused counted as a rejection, of which a request that may have run gets eight, 0.1 s apart. The router ended by its own count what the next connection would have saved. Change: only rejections by servers count once a request may have run. It goes on each 0.1 s until its deadline or until its caller leaves; nothing arrives anywhere meanwhile. A request that has not run is refused after three, as before. Figures: TestStreamOutlivesARestartOfItsOnlyServer failed before and passes now.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -130,7 +131,9 @@
 // recordChoice records the choice of a server for the next attempt.
 func (p *proxiedRequest) recordChoice(at *place) {
 	p.choice, p.chosenAt, p.listAge, p.kvCopy = at.choice, at.chosenAt, at.listAge, at.kvCopy
-	p.tried = append(p.tried, at.choice.Server)
+	if !slices.Contains(p.tried, at.choice.Server) {
+		p.tried = append(p.tried, at.choice.Server)
+	}
 	p.sendDelay = 0
 }
 
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -60,10 +60,12 @@
 	placementRequest placement.Request
 	deadline         time.Time
 
-	// tried are the backend servers that were picked for the request, and
-	// executions is the number of those that may have run it.
+	// tried are the backend servers that were picked for the request. executions
+	// is the number of attempts that may have run it, and rejections that of those
+	// that a server rejected.
 	tried      []string
 	executions int
+	rejections int
 
 	// choice is the balancer's last choice of a server, chosenAt when it was
 	// made, and listAge the age of the list of servers at that moment.
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -14,8 +14,9 @@
 	// reached, after which a request that has not run is refused.
 	maxRejections = 3
 
-	// maxRejectionsAfterRun is the same for a request that may have run. It can't
-	// be refused, so that giving it up loses it.
+	// maxRejectionsAfterRun is the number of servers without room after which a
+	// request is given up that may have run. It can't be refused, so that giving
+	// it up loses it. Servers that can't be reached cost nothing and don't count.
 	maxRejectionsAfterRun = 8
 
 	// retriedServerDelay is how long a request waits before it goes to a server
@@ -61,6 +62,7 @@
 // placeAfter returns the place for the next attempt after one at a place that
 // failed or was replaced. If there is none, it answers the request and returns nil.
 func (p *proxiedRequest) placeAfter(ctx context.Context, last *place, result attemptResult, replacement *place, err error) *place {
+	p.countRejection(result)
 	next, reason := replacement, ""
 	if next == nil {
 		next = p.awaitMigration(ctx)
@@ -81,6 +83,14 @@
 	return next
 }
 
+// countRejection counts an attempt that was rejected or, before the request has
+// run, could not be sent.
+func (p *proxiedRequest) countRejection(result attemptResult) {
+	if result == notExecuted || result == notSent && p.executions == 0 {
+		p.rejections++
+	}
+}
+
 // placeAfterRejection returns a place at the source of a migrated run that its
 // destination did not accept, or nil.
 func (p *proxiedRequest) placeAfterRejection(last *place, result attemptResult) *place {
@@ -143,7 +153,7 @@
 		return "may have run"
 	case p.executions >= max(p.class.MaxAttempts, 1):
 		return "attempts used up"
-	case len(p.tried)-p.executions >= limit:
+	case p.rejections >= limit:
 		return "rejected"
 	}
 	return ""
