Replace a silent attempt only at a server with a free slot

Cause: the check was that some server of the service has room; the choice could fall on another one, where the session is cached, and wait there in a queue. And the check looked at all servers of the service before the cheaper look at the budget. Change: the budget first, and the chosen server must have had a free slot. Conclusion: a silent attempt is not traded for a place in a queue.

--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -41,7 +41,11 @@
 func (p *proxiedRequest) secureReplacement(ctx context.Context, tried []string) *place {
 	r := p.relay
 	now := time.Now()
-	if !r.balancer.HasRoom(now, p.service, tried) || !r.retryBudget.TakeSpeculative(now, p.service) {
+	if !r.retryBudget.TakeSpeculative(now, p.service) {
+		return nil
+	}
+	if !r.balancer.HasRoom(now, p.service, tried) {
+		r.retryBudget.ReturnSpeculative(now, p.service)
 		return nil
 	}
 	p.askLoads(ctx, tried)
@@ -52,13 +56,19 @@
 	}
 	next := p.newPlace(reservation, choice)
 	next.retryTakenAt = now
-	if time.Until(p.deadline) < max(choice.ExpectedLatency, minAttemptTime) {
+	if !p.hasRoom(choice) || time.Until(p.deadline) < max(choice.ExpectedLatency, minAttemptTime) {
 		p.releasePlace(next)
 		return nil
 	}
 	return next
 }
 
+// hasRoom reports whether the chosen server had a free slot.
+func (p *proxiedRequest) hasRoom(choice placement.Choice) bool {
+	target, ok := (*p.relay.servers.Load())[choice.Server]
+	return ok && choice.Running < max(target.Slots, 1)
+}
+
 // releasePlace gives back what secureReplacement reserved for an attempt that is
 // not made. The place may be nil.
 func (p *proxiedRequest) releasePlace(unused *place) {
