Log and count what arrives of the store's responses

A failed call now has the bytes that had arrived in `received`, a response with changes has a line `changes received` with its call, size and duration, the line `plan in force` has the time of the installation in `took`, and the lines of requests say in `missing` for how long a newer version has been known to exist. Metrics: table.NAME.received in bytes, plan.missing in milliseconds. No logic changes; a source now tells its caller of the bytes as they arrive.

--- a/coordination/feed/calls.go
+++ b/coordination/feed/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,9 @@
 	kind   Call
 	sent   time.Duration
 	cancel context.CancelFunc
+
+	// bytes is how much of the response has arrived.
+	bytes atomic.Int64
 }
 
 // result is the end of a call.
@@ -70,8 +74,8 @@
 	kind, request := ReadCall, f.config.Source.Read
 	if f.copy.loaded {
 		after := f.copy.revision
-		kind, request = CheckCall, func(ctx context.Context) (Response[T], error) {
-			return f.config.Source.Watch(ctx, after, 0)
+		kind, request = CheckCall, func(ctx context.Context, received Received) (Response[T], error) {
+			return f.config.Source.Watch(ctx, after, 0, received)
 		}
 	}
 	f.short = append(f.short, f.start(ctx, now, kind, callTimeout, request))
@@ -87,21 +91,21 @@
 	}
 	f.spreadWatch = false
 	after := f.copy.revision
-	return f.start(ctx, now, WatchCall, wait+watchMargin, func(ctx context.Context) (Response[T], error) {
-		return f.config.Source.Watch(ctx, after, wait)
+	return f.start(ctx, now, WatchCall, wait+watchMargin, func(ctx context.Context, received Received) (Response[T], error) {
+		return f.config.Source.Watch(ctx, after, wait, received)
 	})
 }
 
 // start makes a call in a goroutine that ends with the call.
 func (f *Follower[T]) start(
 	ctx context.Context, now time.Duration, kind Call, timeout time.Duration,
-	request func(context.Context) (Response[T], error),
+	request func(context.Context, Received) (Response[T], error),
 ) *call {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	c := &call{kind: kind, sent: now, cancel: cancel}
 	go func() {
 		defer cancel()
-		response, err := request(callCtx)
+		response, err := request(callCtx, func(bytes int) { c.bytes.Add(int64(bytes)) })
 		select {
 		case f.results <- result[T]{call: c, response: response, err: err}:
 		case <-ctx.Done():
--- a/coordination/feed/config.go
+++ b/coordination/feed/config.go
@@ -37,11 +37,9 @@
 	// OnEvent receives the follower's events. It must not block.
 	OnEvent func(Event)
 
-	// OnCall is called after each call to the table with the kind of the call
-	// and its error or nil. The error of a call that was canceled because its
-	// result was no longer needed is ErrDropped. It must not block. It may be
+	// OnCall is called after each call to the table. It must not block. It may be
 	// nil.
-	OnCall func(call Call, err error)
+	OnCall func(CallReport)
 
 	// OnResponse is called after each response, when Proof already includes it,
 	// with the kind of the call, the revision and the clock. They prove something
@@ -77,6 +75,25 @@
 	return "invalid"
 }
 
+// CallReport describes a call to a table that has ended.
+type CallReport struct {
+	Call Call
+
+	// Err is the error of the call or nil. It is ErrDropped for a call that was
+	// canceled because its result was no longer needed.
+	Err error
+
+	// Open is how long the call was in progress, and Bytes how much of its
+	// response arrived.
+	Open  time.Duration
+	Bytes int64
+
+	// Changes is the number of rows in the response, and Revision the newest
+	// revision that it covers. Both are zero without a response.
+	Changes  int
+	Revision int64
+}
+
 // Event reports a failed call, an unusable row, the end of an outage, that the
 // whole table is read again, or that a watch was silent.
 type Event struct {
@@ -100,8 +117,10 @@
 	// that a check brought, while other calls were answered.
 	Silent bool
 
-	// Open is how long the call was in progress that failed or was silent.
-	Open time.Duration
+	// Open is how long the call was in progress that failed or was silent, and
+	// Bytes how much of its response arrived.
+	Open  time.Duration
+	Bytes int64
 
 	// Age is the time since the copy was last known to be current, or zero
 	// before the first response. It is not set for an unusable row.
--- a/coordination/feed/faketable_test.go
+++ b/coordination/feed/faketable_test.go
@@ -116,7 +116,7 @@
 	return feed.Response[string]{Changes: changes, Revision: int64(len(f.history)), Clock: f.clock() + f.skew}
 }
 
-func (f *fakeTable) Read(ctx context.Context) (feed.Response[string], error) {
+func (f *fakeTable) Read(ctx context.Context, _ feed.Received) (feed.Response[string], error) {
 	response, silences, err := f.readAll()
 	if err != nil {
 		return response, err
@@ -150,7 +150,7 @@
 	return 0
 }
 
-func (f *fakeTable) Watch(ctx context.Context, after int64, wait time.Duration) (feed.Response[string], error) {
+func (f *fakeTable) Watch(ctx context.Context, after int64, wait time.Duration, _ feed.Received) (feed.Response[string], error) {
 	deadline := time.After(wait)
 	f.mu.Lock()
 	f.requests++
--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -52,15 +52,19 @@
 	Clock time.Duration
 }
 
-// Source reads one table.
+// Received is told of a response that is arriving: that it has begun, with zero
+// bytes, and then of each part of its body, with the size of the part.
+type Received func(bytes int)
+
+// Source reads one table. It tells received of the response as it arrives.
 type Source[T any] interface {
 	// Read returns all rows as of one point in time.
-	Read(ctx context.Context) (Response[T], error)
+	Read(ctx context.Context, received Received) (Response[T], error)
 
 	// Watch returns the rows that changed after a revision. If there are none,
 	// it waits for changes and returns an empty response once wait has passed.
 	// It returns ErrCompacted if the changes are no longer available.
-	Watch(ctx context.Context, after int64, wait time.Duration) (Response[T], error)
+	Watch(ctx context.Context, after int64, wait time.Duration, received Received) (Response[T], error)
 }
 
 // Clock returns the time since a fixed point. It advances while the VM is
--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -90,6 +90,17 @@
 	return f.config.Clock() - f.outageStart
 }
 
+// MissingFor returns for how long others have reported a change that the copy
+// lacks, or zero if none is known.
+func (f *Follower[T]) MissingFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.evidence.missed == 0 {
+		return 0
+	}
+	return f.config.Clock() - f.evidence.missedAt
+}
+
 // Proof returns the newest proof that the follower has, or the zero proof.
 func (f *Follower[T]) Proof() Proof {
 	f.mu.Lock()
--- a/coordination/feed/outcome.go
+++ b/coordination/feed/outcome.go
@@ -15,7 +15,10 @@
 		r.err = ErrDropped
 	}
 	if f.config.OnCall != nil {
-		f.config.OnCall(r.call.kind, r.err)
+		f.config.OnCall(CallReport{
+			Call: r.call.kind, Err: r.err, Open: f.config.Clock() - r.call.sent, Bytes: r.call.bytes.Load(),
+			Changes: len(r.response.Changes), Revision: r.response.Revision,
+		})
 	}
 	switch {
 	case errors.Is(r.err, ErrDropped):
@@ -69,7 +72,7 @@
 		f.nextShort = now + minShortPause
 	}
 	f.setOutageStart(now)
-	f.config.OnEvent(Event{Lost: true, Err: err, Open: now - c.sent, Age: f.age(now)})
+	f.config.OnEvent(Event{Lost: true, Err: err, Open: now - c.sent, Bytes: c.bytes.Load(), Age: f.age(now)})
 }
 
 // succeeded applies a response.
@@ -139,7 +142,7 @@
 // pause.
 func (f *Follower[T]) reportSilence(watch *call) {
 	now := f.config.Clock()
-	f.config.OnEvent(Event{Silent: true, Open: now - watch.sent, Age: f.age(now)})
+	f.config.OnEvent(Event{Silent: true, Open: now - watch.sent, Bytes: watch.bytes.Load(), Age: f.age(now)})
 	f.nextWatch = now + f.config.WatchPause
 }
 
--- a/coordination/feed/silence_test.go
+++ b/coordination/feed/silence_test.go
@@ -56,7 +56,7 @@
 				defer g.mu.Unlock()
 				g.events = append(g.events, e)
 			},
-			OnCall: func(feed.Call, error) {
+			OnCall: func(feed.CallReport) {
 				g.mu.Lock()
 				defer g.mu.Unlock()
 				g.calls++
--- a/router/relay/fakes_test.go
+++ b/router/relay/fakes_test.go
@@ -99,7 +99,7 @@
 	f.unavailable = unavailable
 }
 
-func (f *fakeTable[T]) Read(context.Context) (feed.Response[T], error) {
+func (f *fakeTable[T]) Read(context.Context, feed.Received) (feed.Response[T], error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unavailable {
@@ -108,7 +108,7 @@
 	return feed.Response[T]{Changes: f.rows, Revision: f.revision, Clock: f.clock()}, nil
 }
 
-func (f *fakeTable[T]) Watch(ctx context.Context, after int64, _ time.Duration) (feed.Response[T], error) {
+func (f *fakeTable[T]) Watch(ctx context.Context, after int64, _ time.Duration, received feed.Received) (feed.Response[T], error) {
 	pause := time.NewTimer(5 * time.Millisecond)
 	defer pause.Stop()
 	select {
@@ -116,7 +116,7 @@
 		return feed.Response[T]{}, ctx.Err()
 	case <-pause.C:
 	}
-	response, err := f.Read(ctx)
+	response, err := f.Read(ctx, received)
 	if err == nil && response.Revision == after {
 		response.Changes = nil
 	}
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -15,6 +15,8 @@
 //   - version: the version of the plan that the request uses
 //   - age: the time since the plan was last known to be the newest, in
 //     milliseconds, negative without a plan
+//   - missing: for how long a newer version has been known to exist that the
+//     router lacks, in milliseconds
 //   - expected: the expected time to the first event, in milliseconds
 //   - chosen: the ID of the last server chosen, also if the request was refused
 //     because that server is busy
@@ -46,6 +48,9 @@
 		if age, ok := p.relay.planAge(); ok {
 			event = event.Dur("age", age)
 		}
+		if missing := p.relay.options.planMissingFor(); missing > 0 {
+			event = event.Dur("missing", missing)
+		}
 	}
 	if p.choice.Server != "" {
 		event = event.Dur("expected", p.choice.ExpectedLatency).Str("chosen", p.choice.Server).Strs("servers", p.tried).Int("prompt", p.info.PromptTokens).Int("runs", p.executions).Float64("cost", p.choice.Cost).
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -125,7 +125,7 @@
 		MaxUnproved: maxUnproved(planDelay(config.Bounds), config.Heartbeat),
 		Apply:       n.applyPlans,
 		OnEvent:     n.feedReporter("plan"),
-		OnCall:      n.callCounter("plan"),
+		OnCall:      n.callReporter("plan"),
 		OnResponse: func(call feed.Call, revision int64, clock time.Duration) {
 			n.shareProof(n.servers, call, revision, clock)
 		},
@@ -141,7 +141,7 @@
 		RemovalGrace: time.Duration(serverRemovalGraceFraction * float64(config.Bounds.DrainTimeout)),
 		Apply:        func(rows map[string]Server) { n.relay.installServers(rows) },
 		OnEvent:      n.feedReporter("servers"),
-		OnCall:       n.callCounter("servers"),
+		OnCall:       n.callReporter("servers"),
 		OnResponse: func(call feed.Call, revision int64, clock time.Duration) {
 			n.shareProof(n.plans, call, revision, clock)
 		},
@@ -157,6 +157,7 @@
 		planAsOf:           n.plans.AsOf,
 		serversAsOf:        n.servers.AsOf,
 		planUnreachableFor: n.plans.OutageDuration,
+		planMissingFor:     n.plans.MissingFor,
 		routers:            func() (int, time.Time) { return n.broadcaster.MostRouters() },
 		peerHasFresherPlan: func(bound time.Duration) bool { return n.broadcaster.AnyFresherPlan(bound) },
 		log:                n.log,
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -51,6 +51,10 @@
 	// zero.
 	planUnreachableFor func() time.Duration
 
+	// planMissingFor returns for how long a newer plan has been known to exist
+	// that this router lacks, or zero.
+	planMissingFor func() time.Duration
+
 	// peerHasFresherPlan reports whether the plan of another router was known
 	// to be the newest less than the bound ago.
 	peerHasFresherPlan func(bound time.Duration) bool
@@ -129,8 +133,10 @@
 // installPlan puts a plan in force. A plan that is not newer than the current
 // one is ignored, so that a router never returns to an older plan. In the lines
 // that it logs, the key version holds the version of the plan, kept the version
-// that stays in force instead, and classes and teams their numbers in the plan.
+// that stays in force instead, classes and teams their numbers in the plan, and
+// took the time of the installation in milliseconds.
 func (r *relay) installPlan(plan Plan) {
+	start := time.Now()
 	r.installMu.Lock()
 	defer r.installMu.Unlock()
 	old := r.index.Load()
@@ -143,7 +149,7 @@
 	r.index.Store(next)
 	r.updateBalancer()
 	r.options.log.StateChange().Int64("version", plan.Version).Int("classes", len(plan.Classes)).
-		Int("teams", len(plan.Teams)).Msg("plan in force")
+		Int("teams", len(plan.Teams)).Dur("took", time.Since(start)).Msg("plan in force")
 }
 
 // installServers replaces the set of backend servers, and takes over the map.
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -27,9 +27,11 @@
 	metrics.WriteOnce(n.metrics, w)
 }
 
-// callCounter returns a function that counts calls to a table by kind, and the
-// failed ones.
-func (n *Node) callCounter(table string) func(feed.Call, error) {
+// callReporter returns a function that counts calls to a table by kind, the failed
+// ones, and the bytes received, and logs responses that change the copy. In the
+// line, received holds the size of the response in bytes, open how long the call
+// was in progress, in milliseconds, and changes the number of rows.
+func (n *Node) callReporter(table string) func(feed.CallReport) {
 	prefix := "table." + table + "."
 	counters := map[feed.Call]metrics.Counter{
 		feed.ReadCall:  metrics.GetOrRegisterCounter(prefix+feed.ReadCall.String(), n.metrics),
@@ -37,22 +39,30 @@
 		feed.CheckCall: metrics.GetOrRegisterCounter(prefix+feed.CheckCall.String(), n.metrics),
 	}
 	failed := metrics.GetOrRegisterCounter(prefix+"failed", n.metrics)
-	return func(call feed.Call, err error) {
-		counters[call].Inc(1)
-		if err != nil && !errors.Is(err, feed.ErrDropped) {
+	received := metrics.GetOrRegisterCounter(prefix+"received", n.metrics)
+	return func(report feed.CallReport) {
+		counters[report.Call].Inc(1)
+		received.Inc(report.Bytes)
+		if report.Err != nil && !errors.Is(report.Err, feed.ErrDropped) {
 			failed.Inc(1)
 		}
+		if report.Err == nil && report.Changes > 0 {
+			n.log.StateChange().Str("table", table).Stringer("call", report.Call).Int64("revision", report.Revision).
+				Int("changes", report.Changes).Int64("received", report.Bytes).Dur("open", report.Open).Msg("changes received")
+		}
 	}
 }
 
 // registerGauges registers gauges that are computed when read: the version of
-// the plan and its age in milliseconds, both -1 without a plan, the age of the
-// list of servers in milliseconds, -1 without one, the number of requests in
+// the plan and its age in milliseconds, both -1 without a plan, for how
+// many milliseconds a newer version has been known to exist, 0 if none is, the age
+// of the list of servers in milliseconds, -1 without one, the number of requests in
 // progress, and the number of log lines that were dropped.
 func (n *Node) registerGauges() {
 	gauges := map[string]func() int64{
 		"plan.version":      n.relay.planVersion,
 		"plan.age":          n.relay.planAgeMilliseconds,
+		"plan.missing":      func() int64 { return n.plans.MissingFor().Milliseconds() },
 		"servers.age":       func() int64 { return n.relay.serversAge().Milliseconds() },
 		"requests.inflight": n.relay.inProgress,
 		"log.lost":          n.log.DroppedLines,
--- a/router/relay/tables.go
+++ b/router/relay/tables.go
@@ -96,16 +96,19 @@
 // feedReporter returns a function that logs the events of a table's follower.
 // The keys hold durations in milliseconds: away, how long the table was
 // unavailable; open, how long the failed call had been in progress; and age, the
-// time since the copy of the table was last known to be current.
+// time since the copy of the table was last known to be current. received holds how
+// many bytes of the failed call's response had arrived.
 func (n *Node) feedReporter(table string) func(feed.Event) {
 	return func(e feed.Event) {
 		switch {
 		case e.Lost:
-			n.log.Failure(e.Err).Str("table", table).Dur("open", e.Open).Dur("age", e.Age).Msg("table lost")
+			n.log.Failure(e.Err).Str("table", table).Dur("open", e.Open).Int64("received", e.Bytes).
+				Dur("age", e.Age).Msg("table lost")
 		case e.Regained:
 			n.log.StateChange().Str("table", table).Dur("away", e.Outage).Dur("age", e.Age).Msg("table regained")
 		case e.Silent:
-			n.log.StateChange().Str("table", table).Dur("open", e.Open).Dur("age", e.Age).Msg("watch was silent")
+			n.log.StateChange().Str("table", table).Dur("open", e.Open).Int64("received", e.Bytes).
+				Dur("age", e.Age).Msg("watch was silent")
 		case e.Compacted:
 			n.log.StateChange().Str("table", table).Dur("age", e.Age).Msg("table read again")
 		default:
