--- a/coordination/feed/faketable_test.go
+++ b/coordination/feed/faketable_test.go
@@ -25,6 +25,9 @@
 	// lag delays each response after it was made.
 	lag time.Duration
 
+	// link carries the responses, if it is not nil.
+	link *fakeLink
+
 	// silences counts the beginnings and ends of silences. A call during which
 	// it is odd or changes gets no response.
 	silences int
@@ -51,24 +54,39 @@
 }
 
 // answer returns a response, unless the table was silent during the call.
-func (f *fakeTable) answer(ctx context.Context, silences int, r feed.Response[string]) (feed.Response[string], error) {
+func (f *fakeTable) answer(
+	ctx context.Context, silences int, r feed.Response[string], received feed.Received,
+) (feed.Response[string], error) {
 	f.mu.Lock()
-	silent := silences%2 == 1 || silences != f.silences
-	lag := f.lag
+	lag, link := f.lag, f.link
 	f.mu.Unlock()
-	if silent {
+	if f.silentSince(silences) {
 		<-ctx.Done()
 		return feed.Response[string]{}, ctx.Err()
 	}
-	if lag == 0 {
-		return r, nil
-	}
 	select {
 	case <-ctx.Done():
 		return feed.Response[string]{}, ctx.Err()
 	case <-time.After(lag):
+	}
+	if link == nil {
 		return r, nil
 	}
+	size := 0
+	for _, change := range r.Changes {
+		size += len(change.Value)
+	}
+	if err := link.transfer(ctx, size, received, func() bool { return f.silentSince(silences) }); err != nil {
+		return feed.Response[string]{}, err
+	}
+	return r, nil
+}
+
+// silentSince reports whether there was a silence since a count of silences.
+func (f *fakeTable) silentSince(silences int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return silences%2 == 1 || silences != f.silences
 }
 
 // setLag sets the delay of responses.
@@ -116,12 +134,12 @@
 	return feed.Response[string]{Changes: changes, Revision: int64(len(f.history)), Clock: f.clock() + f.skew}
 }
 
-func (f *fakeTable) Read(ctx context.Context, _ feed.Received) (feed.Response[string], error) {
+func (f *fakeTable) Read(ctx context.Context, received feed.Received) (feed.Response[string], error) {
 	response, silences, err := f.readAll()
 	if err != nil {
 		return response, err
 	}
-	return f.answer(ctx, silences, response)
+	return f.answer(ctx, silences, response, received)
 }
 
 // readAll returns all rows and the count of silences.
@@ -150,7 +168,7 @@
 	return 0
 }
 
-func (f *fakeTable) Watch(ctx context.Context, after int64, wait time.Duration, _ feed.Received) (feed.Response[string], error) {
+func (f *fakeTable) Watch(ctx context.Context, after int64, wait time.Duration, received feed.Received) (feed.Response[string], error) {
 	deadline := time.After(wait)
 	f.mu.Lock()
 	f.requests++
@@ -167,7 +185,7 @@
 		case int(after) < oldest:
 			return feed.Response[string]{}, feed.ErrCompacted
 		case len(changes) > 0 || wait == 0:
-			return f.answer(ctx, silences, response)
+			return f.answer(ctx, silences, response, received)
 		}
 		select {
 		case <-ctx.Done():
@@ -176,7 +194,7 @@
 			f.mu.Lock()
 			response := f.response(nil)
 			f.mu.Unlock()
-			return f.answer(ctx, silences, response)
+			return f.answer(ctx, silences, response, received)
 		case <-changed:
 		}
 	}
