Give up a call to the store when it makes no progress

Callers saw 503 from most routers for up to 20 s, and old versions served beside it, after a plan had grown: 74 of 80 routers, those with links of 10 Mbit/s, never got it.

Cause: a call had 600 ms for its whole response, a watch as much beyond its wait. A plan of 3,000 routes has 788 KB and needs 630 ms on such a link alone; four missed versions of 1,000 routes have 1,095 KB. The call was given up, with 260 KB received on average, and repeated from the start each 250 to 600 ms, beside others under way. Ruled out: slow installations (0.2 ms at most, processor time not counted).

Change: a response may take 5 s to begin, may stall for 1 s, and may take 30 s in all. Whether the table is reachable is decided apart from that: after 600 ms, or 1.5 times the latest answer, without an answer or progress. One transfer at a time: while a response arrives, no call is made and the others are dropped; repeats follow the time that answers take. A copy of the plan that others know to be outdated is read, as the changes hold every version in full.

--- a/coordination/feed/calls.go
+++ b/coordination/feed/calls.go
@@ -2,18 +2,28 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
-	// callTimeout bounds a call that doesn't wait for changes. A table that is
-	// slowed down by a factor of sixty still responds in time.
-	callTimeout = 600 * time.Millisecond
+	// callTimeout is how long a response may take to begin, for a watch beyond its
+	// wait. Older responses prove nothing that is still of use.
+	callTimeout = 5 * time.Second
+
+	// stallTimeout is how long a response that has begun to arrive may deliver
+	// nothing, and maxTransferTime how long it may take in all.
+	stallTimeout    = time.Second
+	maxTransferTime = 30 * time.Second
 
-	// watchMargin is added to the wait of a watch to allow for the round trip.
-	watchMargin = 600 * time.Millisecond
+	// minPatience and maxPatience bound the time after which the table counts as
+	// unreachable if no short call is answered.
+	minPatience = 600 * time.Millisecond
+	maxPatience = 3 * time.Second
 
 	// Checks that are not answered are repeated, without waiting for their end,
 	// every fastRetryInterval for fastRetryTime. The short interval bounds how
@@ -22,7 +32,7 @@
 	// which spares the table load.
 	fastRetryInterval = 250 * time.Millisecond
 	fastRetryTime     = 1500 * time.Millisecond
-	slowRetryInterval = callTimeout
+	slowRetryInterval = minPatience
 
 	// minShortPause is the pause between the end of a call and the next short
 	// call.
@@ -33,16 +43,48 @@
 	missedDelay = 100 * time.Millisecond
 )
 
+// errSilent means that no part of a response arrived for too long.
+const errSilent = errors.ConstError("no response")
+
 // call is a call in progress.
 type call struct {
 	kind   Call
 	sent   time.Duration
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
+
+	// mu guards the fields below, which belong to the response: how much of it
+	// has arrived, and when its first and its latest part did.
+	mu         sync.Mutex
+	bytes      int64
+	begunAt    time.Duration
+	progressAt time.Duration
+}
+
+// record records that a part of the response has arrived, and reports whether it
+// is the first.
+func (c *call) record(now time.Duration, bytes int) (first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first = c.bytes == 0
+	if first {
+		c.begunAt = now
+	}
+	c.bytes += int64(bytes)
+	c.progressAt = now
+	return first
+}
 
-	// bytes is how much of the response has arrived.
-	bytes atomic.Int64
+// progress returns how much of the response has arrived, and when its first and
+// its latest part did.
+func (c *call) progress() (bytes int64, begunAt, progressAt time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes, c.begunAt, c.progressAt
 }
 
+// drop cancels the call because its result is no longer needed.
+func (c *call) drop() { c.cancel(ErrDropped) }
+
 // result is the end of a call.
 type result[T any] struct {
 	call     *call
@@ -56,7 +98,7 @@
 	if now >= f.shortDue() {
 		f.startShort(ctx, now)
 	}
-	if f.watch == nil && f.watching() && now >= f.nextWatch {
+	if f.watch == nil && f.watching() && !f.behind() && now >= f.nextWatch {
 		f.watch = f.startWatch(ctx, now)
 	}
 }
@@ -67,12 +109,13 @@
 		f.asking, f.askingSince = true, now
 		f.drawUnprovedLimit()
 	}
-	f.nextShort = now + slowRetryInterval
+	interval := slowRetryInterval
 	if f.copy.loaded && now-f.askingSince < fastRetryTime {
-		f.nextShort = now + fastRetryInterval
+		interval = fastRetryInterval
 	}
+	f.nextShort = now + max(interval, f.expectedAnswer())
 	kind, request := ReadCall, f.config.Source.Read
-	if f.copy.loaded {
+	if f.copy.loaded && !f.behind() {
 		after := f.copy.revision
 		kind, request = CheckCall, func(ctx context.Context, received Received) (Response[T], error) {
 			return f.config.Source.Watch(ctx, after, 0, received)
@@ -91,21 +134,39 @@
 	}
 	f.spreadWatch = false
 	after := f.copy.revision
-	return f.start(ctx, now, WatchCall, wait+watchMargin, func(ctx context.Context, received Received) (Response[T], error) {
+	return f.start(ctx, now, WatchCall, wait+callTimeout, func(ctx context.Context, received Received) (Response[T], error) {
 		return f.config.Source.Watch(ctx, after, wait, received)
 	})
 }
 
-// start makes a call in a goroutine that ends with the call.
+// start makes a call in a goroutine that ends with the call. The call is canceled
+// if its response does not begin within a timeout, or stops arriving. The time for
+// the whole response is not bounded more closely, as a large one on a slow link
+// would have to be asked for again from its start.
 func (f *Follower[T]) start(
 	ctx context.Context, now time.Duration, kind Call, timeout time.Duration,
 	request func(context.Context, Received) (Response[T], error),
 ) *call {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	timeoutCtx, stop := context.WithTimeout(ctx, timeout+maxTransferTime)
+	callCtx, cancel := context.WithCancelCause(timeoutCtx)
 	c := &call{kind: kind, sent: now, cancel: cancel}
+	silence := time.AfterFunc(timeout, func() { cancel(errSilent) })
+	received := func(bytes int) {
+		if bytes == 0 {
+			return
+		}
+		silence.Reset(stallTimeout)
+		if c.record(f.config.Clock(), bytes) {
+			f.signal()
+		}
+	}
 	go func() {
-		defer cancel()
-		response, err := request(callCtx, func(bytes int) { c.bytes.Add(int64(bytes)) })
+		defer stop()
+		response, err := request(callCtx, received)
+		silence.Stop()
+		if cause := context.Cause(callCtx); err != nil && cause != nil {
+			err = fmt.Errorf("%w: %w", cause, err)
+		}
 		select {
 		case f.results <- result[T]{call: c, response: response, err: err}:
 		case <-ctx.Done():
@@ -124,7 +185,7 @@
 // dropWatch cancels the watch in progress, if there is one.
 func (f *Follower[T]) dropWatch() {
 	if f.watch != nil {
-		f.watch.cancel()
+		f.watch.drop()
 		f.watch = nil
 	}
 }
@@ -132,7 +193,7 @@
 // dropShort cancels the short calls in progress.
 func (f *Follower[T]) dropShort() {
 	for _, c := range f.short {
-		c.cancel()
+		c.drop()
 	}
 	f.short, f.asking = nil, false
 }
--- a/coordination/feed/config.go
+++ b/coordination/feed/config.go
@@ -20,6 +20,11 @@
 	// proofs few have to ask. Zero means no limit.
 	MaxUnproved time.Duration
 
+	// ReadMissed says that a copy which others know to be outdated is brought up
+	// to date by a read. The changes would hold each version of a row, of which
+	// only the newest counts. It suits a table of few rows that are replaced often.
+	ReadMissed bool
+
 	// LapseGrace is how long after the end of an outage a row is kept that
 	// disappeared during the outage. Its writer may just have been unable to
 	// renew it. LapseTime is the shortest outage in which a row can lapse.
--- a/coordination/feed/due.go
+++ b/coordination/feed/due.go
@@ -8,10 +8,14 @@
 
 // nextDue returns the time on the clock when the next call or removal is due.
 func (f *Follower[T]) nextDue() time.Duration {
-	due := min(f.config.Clock()+maxAwait, f.shortDue())
-	if f.watch == nil && f.watching() {
+	now := f.config.Clock()
+	due := min(now+maxAwait, f.shortDue())
+	if f.watch == nil && f.watching() && !f.behind() {
 		due = min(due, f.nextWatch)
 	}
+	if f.asking && !f.failing && len(f.short) > 0 {
+		due = min(due, f.outageDue(now))
+	}
 	if removal, ok := f.copy.nextRemoval(); ok {
 		due = min(due, removal)
 	}
@@ -22,14 +26,26 @@
 // has to be read again, it is not.
 func (f *Follower[T]) watching() bool { return f.copy.loaded && !f.failing }
 
-// shortDue returns when the next short call is due. In the pause between two
-// watches the copy is not checked, as the next watch reports the changes made
-// meanwhile.
+// behind reports whether the copy lacks a change and is brought up to date by a
+// read.
+func (f *Follower[T]) behind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.ReadMissed && f.evidence.missed > 0
+}
+
+// shortDue returns when the next short call is due. While a response is arriving
+// there is none, and in the pause between two watches the copy is not checked, as
+// the next watch reports the changes made meanwhile.
 func (f *Follower[T]) shortDue() time.Duration {
-	if f.asking || !f.watching() {
-		return f.nextShort
+	due := max(f.nextShort, f.quietSince(f.config.Clock()))
+	switch {
+	case f.asking || !f.watching():
+		return due
+	case f.watch == nil && f.behind():
+		return max(due, f.nextWatch)
 	}
-	return max(f.checkDue(), f.nextShort, f.nextWatch+missedDelay)
+	return max(due, f.checkDue(), f.nextWatch+missedDelay)
 }
 
 // checkDue returns when the copy has to be checked unless a proof arrives
--- a/coordination/feed/fakelink_test.go
+++ b/coordination/feed/fakelink_test.go
@@ -30,7 +30,6 @@
 // transfer carries a number of bytes, and returns early with an error if the
 // context ends or stalled reports that nothing passes any more.
 func (l *fakeLink) transfer(ctx context.Context, size int, received feed.Received, stalled func() bool) error {
-	received(0)
 	for size > 0 {
 		if stalled() {
 			<-ctx.Done()
--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -52,8 +52,7 @@
 	Clock time.Duration
 }
 
-// Received is told of a response that is arriving: that it has begun, with zero
-// bytes, and then of each part of its body, with the size of the part.
+// Received is told of each part of a response that arrives, with its size.
 type Received func(bytes int)
 
 // Source reads one table. It tells received of the response as it arrives.
--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -13,12 +13,13 @@
 // Run owns the copy and makes all calls to the table. There are two kinds: a
 // watch is open most of the time, so that changes arrive at once; short calls
 // read the table, ask whether it is back after a failure, and check the copy when
-// nothing has proved it to be current for too long.
+// nothing has proved it to be current for too long. A call is given up when its
+// response makes no progress, not after a time for the whole of it.
 type Follower[T any] struct {
 	config Config[T]
 
 	// results receives the ends of calls, and wake a signal that the copy is
-	// outdated.
+	// outdated or that a response begins to arrive.
 	results chan result[T]
 	wake    chan struct{}
 
@@ -38,6 +39,10 @@
 	asking      bool
 	askingSince time.Duration
 
+	// answerTime is how long the response to the latest short call that was
+	// answered took to begin.
+	answerTime time.Duration
+
 	// unprovedLimit is the time without a proof after which the copy is checked.
 	unprovedLimit time.Duration
 
@@ -115,9 +120,13 @@
 	f.mu.Lock()
 	outdated := f.evidence.use(p, f.config.Clock())
 	f.mu.Unlock()
-	if !outdated {
-		return
+	if outdated {
+		f.signal()
 	}
+}
+
+// signal wakes up Run.
+func (f *Follower[T]) signal() {
 	select {
 	case f.wake <- struct{}{}:
 	default: // Run has not yet seen the signal before.
@@ -132,7 +141,10 @@
 	for ctx.Err() == nil {
 		f.startCalls(ctx)
 		f.await(ctx)
-		if f.copy.removeExpired(f.config.Clock()) {
+		now := f.config.Clock()
+		f.keepOneTransfer(now)
+		f.noticeOutage(now)
+		if f.copy.removeExpired(now) {
 			f.config.Apply(f.copy.snapshot())
 		}
 	}
--- a/coordination/feed/outcome.go
+++ b/coordination/feed/outcome.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -15,8 +14,9 @@
 		r.err = ErrDropped
 	}
 	if f.config.OnCall != nil {
+		bytes, _, _ := r.call.progress()
 		f.config.OnCall(CallReport{
-			Call: r.call.kind, Err: r.err, Open: f.config.Clock() - r.call.sent, Bytes: r.call.bytes.Load(),
+			Call: r.call.kind, Err: r.err, Open: f.config.Clock() - r.call.sent, Bytes: bytes,
 			Changes: len(r.response.Changes), Revision: r.response.Revision,
 		})
 	}
@@ -72,7 +72,8 @@
 		f.nextShort = now + minShortPause
 	}
 	f.setOutageStart(now)
-	f.config.OnEvent(Event{Lost: true, Err: err, Open: now - c.sent, Bytes: c.bytes.Load(), Age: f.age(now)})
+	bytes, _, _ := c.progress()
+	f.config.OnEvent(Event{Lost: true, Err: err, Open: now - c.sent, Bytes: bytes, Age: f.age(now)})
 }
 
 // succeeded applies a response.
@@ -87,6 +88,9 @@
 		f.spreadWatch = true
 		f.replaceSilentWatch()
 	}
+	if r.call.kind != WatchCall {
+		f.recordAnswer(r.call, now)
+	}
 	if r.call.kind != CheckCall {
 		f.nextWatch = now + f.config.WatchPause
 	}
@@ -124,7 +128,7 @@
 // wasSilent reports whether a watch got no response while the copy was proved by
 // other means. The table is not away then, only the watch's connection is silent.
 func (f *Follower[T]) wasSilent(r result[T]) bool {
-	return r.call.kind == WatchCall && errors.Is(r.err, context.DeadlineExceeded) &&
+	return r.call.kind == WatchCall && errors.Is(r.err, errSilent) &&
 		f.age(f.config.Clock()) <= f.config.MaxUnproved
 }
 
@@ -142,7 +146,8 @@
 // pause.
 func (f *Follower[T]) reportSilence(watch *call) {
 	now := f.config.Clock()
-	f.config.OnEvent(Event{Silent: true, Open: now - watch.sent, Bytes: watch.bytes.Load(), Age: f.age(now)})
+	bytes, _, _ := watch.progress()
+	f.config.OnEvent(Event{Silent: true, Open: now - watch.sent, Bytes: bytes, Age: f.age(now)})
 	f.nextWatch = now + f.config.WatchPause
 }
 
--- a/coordination/feed/silence_test.go
+++ b/coordination/feed/silence_test.go
@@ -46,6 +46,7 @@
 		f := feed.NewFollower(feed.Config[string]{
 			Source: table, Clock: table.clock, WatchWait: watchWait, WatchPause: watchPause, MaxUnproved: maxUnproved,
 			LapseGrace: 2 * time.Second, LapseTime: 2100 * time.Millisecond, RemovalGrace: removalGrace,
+			ReadMissed: table.link != nil, // Tables behind a link have rows that are replaced.
 			Apply: func(rows map[string]string) {
 				g.mu.Lock()
 				defer g.mu.Unlock()
--- a/coordination/feed/transfer_test.go
+++ b/coordination/feed/transfer_test.go
@@ -61,7 +61,7 @@
 		table.put("a", row("1", largeRow))
 		took := awaitRow(t, g, "1")
 		gomega.NewWithT(t).Expect(took).To(gomega.BeNumerically("<=", 1500*time.Millisecond))
-		gomega.NewWithT(t).Expect(table.link.carried()-before).To(gomega.BeNumerically("<", 2*largeRow))
+		gomega.NewWithT(t).Expect(table.link.carried() - before).To(gomega.BeNumerically("<", 2*largeRow))
 	})
 }
 
@@ -96,7 +96,7 @@
 		table.setDown(false)
 		took := awaitRow(t, g, "5")
 		gomega.NewWithT(t).Expect(took).To(gomega.BeNumerically("<=", time.Second))
-		gomega.NewWithT(t).Expect(table.link.carried()-before).To(gomega.BeNumerically("<=", mediumRow+linkChunk))
+		gomega.NewWithT(t).Expect(table.link.carried() - before).To(gomega.BeNumerically("<=", mediumRow+linkChunk))
 	})
 }
 
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -123,6 +123,7 @@
 		WatchWait:   watchWait,
 		WatchPause:  planBatchDelay,
 		MaxUnproved: maxUnproved(planDelay(config.Bounds), config.Heartbeat),
+		ReadMissed:  true,
 		Apply:       n.applyPlans,
 		OnEvent:     n.feedReporter("plan"),
 		OnCall:      n.callReporter("plan"),
