Answer the readiness check without waiting for an installation

Cause: since the readiness check took the lock under which plans and lists of servers are installed, to be sure that the balancer knows them. Anything slow there delays the answer, and two late answers take the router out of rotation. Change: the installation records its end in a flag, which the check reads. No test of its own, as the lock can't be held longer from outside; the order that needs, the balancer first, is kept.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -84,6 +84,10 @@
 	servers  atomic.Pointer[map[string]*backendServer]
 	inflight atomic.Int64
 
+	// canChoose says that there are a plan and servers, and that the balancer
+	// knows them. Readiness depends on it and waits for no installation.
+	canChoose atomic.Bool
+
 	// bodyBytes is the memory reserved for request bodies.
 	bodyBytes atomic.Int64
 
@@ -195,8 +199,8 @@
 	r.retryBudget.SetExtra(bounds.RetryExtra, r.options.routers)
 }
 
-// updateBalancer gives the balancer the servers that accept requests. Whether
-// they are model engines depends on the plan, which may arrive after the
+// updateBalancer gives the balancer the servers that accept requests, after which
+// the relay can choose one. Whether they are model engines depends on the plan, which may arrive after the
 // servers. The caller holds r.installMu.
 func (r *relay) updateBalancer() {
 	index := r.index.Load()
@@ -218,6 +222,7 @@
 		accepting = append(accepting, server)
 	}
 	r.balancer.SetServers(time.Now(), accepting)
+	r.canChoose.Store(len(*r.servers.Load()) > 0)
 }
 
 // handleServerUpdate logs that a server is new or began to drain, and in the
@@ -269,15 +274,7 @@
 
 // ready reports whether callers should be sent to this router.
 func (r *relay) ready() bool {
-	return r.lingerUntil.Load() == 0 && r.canChoose() && !r.disconnected()
-}
-
-// canChoose reports whether there are a plan and servers. It waits for their
-// installation, after which the balancer knows them too.
-func (r *relay) canChoose() bool {
-	r.installMu.Lock()
-	defer r.installMu.Unlock()
-	return r.index.Load() != nil && len(*r.servers.Load()) > 0
+	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.disconnected()
 }
 
 // ServeHTTP implements http.Handler.
