Refuse what the plan lacks while others have a newer one

Cause: a final answer was given by any plan whose proof was younger than 4.6 s. Change: while a newer version is known to exist, what the plan lacks gets 503, with a time to return that fits whether another router has it. Requests that the old plan allows are served by it as before: within the bound on keys, and without limit if they need none.

--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -198,14 +198,17 @@
 }
 
 // rejectUnknown answers a request for something that the plan lacks. If the
-// plan is stale, a newer one may have it, so the caller is asked to retry. It
-// always returns false.
+// plan is stale, or others have a newer one, that may have it, so the caller is
+// asked to retry. It always returns false.
 func (p *proxiedRequest) rejectUnknown(status int, reason string) bool {
-	if p.relay.planOlderThan(keyAgeFraction) {
+	switch {
+	case p.relay.planOlderThan(keyAgeFraction):
 		p.refuseStalePlan("plan outdated")
-		return false
+	case p.relay.options.planMissingFor() > 0:
+		p.refuseStalePlan("newer plan missing")
+	default:
+		p.reject(status, reason)
 	}
-	p.reject(status, reason)
 	return false
 }
 
