Reach the store through another router when the store rejects this one

Callers of a router that the store turned away got 503 for every key from 4.6 s after the next version on, and for 6 s and more nothing else, beside routers that had all it needs. Cause: a proof of a peer holds for a copy, and brings no rows. As soon as the plan changes, a router that can't reach the store has nothing. Change: while a table can't be reached and others know of a change that the copy lacks, or there is no copy, the follower calls the table through a router whose plan is current. That router keeps nothing: it makes the call and passes the response on, compressed, so the response states revision and clock of the store and proves what one of its own would. A router that can't reach the store itself refuses at once, and none makes more than two such calls at a time, as they share its link with callers. Weighed: rows from peers' memory (a second way for state to spread, with the age of each row to be proved, and a megabyte more memory for a large plan); no calls without a known change, so that an outage without versions costs none.

--- a/coordination/feed/calls.go
+++ b/coordination/feed/calls.go
@@ -90,6 +90,9 @@
 	call     *call
 	response Response[T]
 	err      error
+
+	// detour says that the call went through another process.
+	detour bool
 }
 
 // startCalls starts the calls that are due.
@@ -98,6 +101,9 @@
 	if now >= f.shortDue() {
 		f.startShort(ctx, now)
 	}
+	if due, ok := f.detourDue(); ok && now >= due {
+		f.startDetour(ctx, now)
+	}
 	if f.watch == nil && f.watching() && !f.behind() && now >= f.nextWatch {
 		f.watch = f.startWatch(ctx, now)
 	}
@@ -114,16 +120,21 @@
 		interval = fastRetryInterval
 	}
 	f.nextShort = now + max(interval, f.expectedAnswer())
-	kind, request := ReadCall, f.config.Source.Read
-	if f.copy.loaded && !f.behind() {
-		after := f.copy.revision
-		kind, request = CheckCall, func(ctx context.Context, received Received) (Response[T], error) {
-			return f.config.Source.Watch(ctx, after, 0, received)
-		}
-	}
+	kind, request := f.shortRequest(f.config.Source)
 	f.short = append(f.short, f.start(ctx, now, kind, callTimeout, request))
 }
 
+// shortRequest returns the call to a source that brings the copy up to date.
+func (f *Follower[T]) shortRequest(source Source[T]) (Call, func(context.Context, Received) (Response[T], error)) {
+	if !f.copy.loaded || f.behind() {
+		return ReadCall, source.Read
+	}
+	after := f.copy.revision
+	return CheckCall, func(ctx context.Context, received Received) (Response[T], error) {
+		return source.Watch(ctx, after, 0, received)
+	}
+}
+
 // startWatch starts a watch. The first one after a change, which all followers
 // see at the same time, waits for a random part of the usual time. The responses
 // to different followers, which are proofs for all, are then spread over time.
--- a/coordination/feed/outcome.go
+++ b/coordination/feed/outcome.go
@@ -10,18 +10,23 @@
 
 // handle processes the end of a call, unless the call was dropped.
 func (f *Follower[T]) handle(r result[T]) {
+	r.detour = r.call == f.detour
 	if !f.forget(r.call) {
 		r.err = ErrDropped
 	}
 	if f.config.OnCall != nil {
 		bytes, _, _ := r.call.progress()
 		f.config.OnCall(CallReport{
-			Call: r.call.kind, Err: r.err, Open: f.config.Clock() - r.call.sent, Bytes: bytes,
+			Call: r.call.kind, Detour: r.detour, Err: r.err, Open: f.config.Clock() - r.call.sent, Bytes: bytes,
 			Changes: len(r.response.Changes), Revision: r.response.Revision,
 		})
 	}
 	switch {
 	case errors.Is(r.err, ErrDropped):
+	case r.detour && r.err == nil:
+		f.detoured(r)
+	case r.detour && !errors.Is(r.err, ErrCompacted):
+		f.config.OnEvent(Event{Detour: true, Err: fmt.Errorf("call table through another process: %w", r.err)})
 	case r.err == nil:
 		f.succeeded(r)
 	case errors.Is(r.err, ErrCompacted):
@@ -40,6 +45,10 @@
 		f.watch = nil
 		return true
 	}
+	if c == f.detour {
+		f.detour = nil
+		return true
+	}
 	before := len(f.short)
 	f.short = slices.DeleteFunc(f.short, func(other *call) bool { return other == c })
 	return len(f.short) < before
@@ -51,6 +60,7 @@
 	now := f.config.Clock()
 	f.dropWatch()
 	f.dropShort()
+	f.dropDetour()
 	f.nextShort = now
 	if f.compacted {
 		f.nextShort = now + minShortPause
@@ -80,6 +90,7 @@
 func (f *Follower[T]) succeeded(r result[T]) {
 	now := f.config.Clock()
 	f.dropShort()
+	f.dropDetour()
 	f.nextShort = now + minShortPause
 	if f.failing {
 		f.endOutage(now)
@@ -97,6 +108,11 @@
 	if r.call.kind == WatchCall {
 		f.compacted = false
 	}
+	f.reportResponse(r)
+}
+
+// reportResponse tells the follower's user what a response proves.
+func (f *Follower[T]) reportResponse(r result[T]) {
 	if f.config.OnResponse != nil {
 		f.config.OnResponse(r.call.kind, r.response.Revision, r.response.Clock)
 	}
@@ -157,10 +173,16 @@
 	age := f.age(now)
 	f.failing, f.spreadWatch = false, true
 	f.setOutageStart(0)
-	if age >= f.config.LapseTime {
+	f.beginGraceIfLapsed(now)
+	f.config.OnEvent(Event{Regained: true, Outage: now - f.failingSince, Age: age})
+}
+
+// beginGraceIfLapsed keeps rows that disappear soon for a while, if the copy was
+// not known to be current for so long that rows can have lapsed.
+func (f *Follower[T]) beginGraceIfLapsed(now time.Duration) {
+	if f.age(now) >= f.config.LapseTime {
 		f.copy.beginGrace(now, f.config.LapseGrace)
 	}
-	f.config.OnEvent(Event{Regained: true, Outage: now - f.failingSince, Age: age})
 }
 
 // reportUnusable reports a row that can't be used.
--- a/coordination/feed/silence_test.go
+++ b/coordination/feed/silence_test.go
@@ -41,9 +41,16 @@
 // startGroup starts n followers that exchange proofs every interval, and at once
 // after each call but watches, or not at all if the interval is zero.
 func startGroup(t *testing.T, table *fakeTable, n int, interval time.Duration) *group {
+	return startGroupWith(t, table, n, interval, func(*feed.Config[string]) {})
+}
+
+// startGroupWith is startGroup with configurations that a function changes.
+func startGroupWith(
+	t *testing.T, table *fakeTable, n int, interval time.Duration, configure func(*feed.Config[string]),
+) *group {
 	g := &group{table: table, copies: make([]map[string]string, n)}
 	for i := range n {
-		f := feed.NewFollower(feed.Config[string]{
+		config := feed.Config[string]{
 			Source: table, Clock: table.clock, WatchWait: watchWait, WatchPause: watchPause, MaxUnproved: maxUnproved,
 			LapseGrace: 2 * time.Second, LapseTime: 2100 * time.Millisecond, RemovalGrace: removalGrace,
 			ReadMissed: table.link != nil, // Tables behind a link have rows that are replaced.
@@ -67,8 +74,9 @@
 					g.tellOthers(i)
 				}
 			},
-		})
-		g.followers = append(g.followers, f)
+		}
+		configure(&config)
+		g.followers = append(g.followers, feed.NewFollower(config))
 	}
 	for _, f := range g.followers {
 		go func() { _ = f.Run(t.Context()) }()
--- a/coordination/feed/transfer.go
+++ b/coordination/feed/transfer.go
@@ -28,10 +28,14 @@
 
 // calls returns all calls in progress.
 func (f *Follower[T]) calls() []*call {
-	if f.watch == nil {
-		return f.short
+	all := slices.Clone(f.short)
+	if f.watch != nil {
+		all = append(all, f.watch)
 	}
-	return append([]*call{f.watch}, f.short...)
+	if f.detour != nil {
+		all = append(all, f.detour)
+	}
+	return all
 }
 
 // keepOneTransfer drops all other calls while a response is arriving. A watch that
@@ -46,6 +50,9 @@
 			f.dropWatch()
 		}
 	}
+	if f.detour != kept {
+		f.dropDetour()
+	}
 	f.short = slices.DeleteFunc(f.short, func(c *call) bool {
 		if c != kept {
 			c.drop()
--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -265,16 +265,23 @@
 // AnyFresherPlan reports whether the plan of a router that recently sent a
 // message was known to be the newest less than the bound ago.
 func (b *Broadcaster) AnyFresherPlan(bound time.Duration) bool {
+	return len(b.PeersWithPlan(bound)) > 0
+}
+
+// PeersWithPlan returns the addresses of the routers that recently sent a message and
+// whose plan was known to be the newest less than the bound ago.
+func (b *Broadcaster) PeersWithPlan(bound time.Duration) []netip.AddrPort {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, reported := range b.planAges {
+	var peers []netip.AddrPort
+	for peer, reported := range b.planAges {
 		since := now.Sub(reported.receivedAt)
 		if since <= planAgeTimeout && reported.age+since < bound {
-			return true
+			peers = append(peers, peer)
 		}
 	}
-	return false
+	return peers
 }
 
 // addPeer adds a router that gets reports until a time, or extends its time.
--- a/router/relay/listen.go
+++ b/router/relay/listen.go
@@ -35,6 +35,9 @@
 		n.config.CallerAddress:    n.relay,
 		n.config.ReadinessAddress: readiness,
 	}
+	if n.servesDetours() {
+		handlers[n.config.PeerAddress.String()] = http.HandlerFunc(n.serveDetour)
+	}
 	if n.config.OperatorAddress != "" {
 		operators := mux.NewRouter()
 		operators.HandleFunc("/metrics", n.serveMetrics)
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -71,6 +71,10 @@
 	Plans   feed.Source[Plan]
 	Servers feed.Source[Server]
 
+	// PeerTables reach these tables through other routers while this one can't
+	// reach them itself. If it is nil, that is not done.
+	PeerTables *PeerTables
+
 	// Clock must not stop while the VM is suspended; see SinceBoot.
 	Clock feed.Clock
 
@@ -106,6 +110,10 @@
 	// callers is set by Run.
 	callers *callerListener
 
+	// detours holds a value for each call to the tables that is being made for
+	// another router.
+	detours chan struct{}
+
 	// directory is nil if the node has no address for it.
 	directory *loadreport.Directory
 }
@@ -116,37 +124,10 @@
 		config:  config,
 		log:     decision.New(config.Log, config.VM),
 		metrics: metrics.NewRegistry(),
+		detours: make(chan struct{}, maxServedDetours),
 	}
-	n.plans = feed.NewFollower(feed.Config[Plan]{
-		Source:      config.Plans,
-		Clock:       config.Clock,
-		WatchWait:   watchWait,
-		WatchPause:  planBatchDelay,
-		MaxUnproved: maxUnproved(planDelay(config.Bounds), config.Heartbeat),
-		ReadMissed:  true,
-		Apply:       n.applyPlans,
-		OnEvent:     n.feedReporter("plan"),
-		OnCall:      n.callReporter("plan"),
-		OnResponse: func(call feed.Call, revision int64, clock time.Duration) {
-			n.shareProof(n.servers, call, revision, clock)
-		},
-	})
-	n.servers = feed.NewFollower(feed.Config[Server]{
-		Source:       config.Servers,
-		Clock:        config.Clock,
-		WatchWait:    watchWait,
-		WatchPause:   serverBatchDelay(config.Bounds.DrainTimeout, config.Heartbeat),
-		MaxUnproved:  maxUnproved(config.Bounds.DrainTimeout, config.Heartbeat),
-		LapseGrace:   serverLapseGrace,
-		LapseTime:    time.Duration(lapseHeartbeats * float64(config.Heartbeat)),
-		RemovalGrace: time.Duration(serverRemovalGraceFraction * float64(config.Bounds.DrainTimeout)),
-		Apply:        func(rows map[string]Server) { n.relay.installServers(rows) },
-		OnEvent:      n.feedReporter("servers"),
-		OnCall:       n.callReporter("servers"),
-		OnResponse: func(call feed.Call, revision int64, clock time.Duration) {
-			n.shareProof(n.plans, call, revision, clock)
-		},
-	})
+	n.followTables()
+
 	n.relay = newRelay(options{
 		codec:              config.Codec,
 		migrator:           config.Migrator,
--- a/router/relay/tables.go
+++ b/router/relay/tables.go
@@ -86,6 +86,45 @@
 	return limitBlindness(delay, heartbeat)
 }
 
+// followTables creates the followers of the tables.
+func (n *Node) followTables() {
+	plans := feed.Config[Plan]{
+		Source:      n.config.Plans,
+		Clock:       n.config.Clock,
+		WatchWait:   watchWait,
+		WatchPause:  planBatchDelay,
+		MaxUnproved: maxUnproved(planDelay(n.config.Bounds), n.config.Heartbeat),
+		ReadMissed:  true,
+		Apply:       n.applyPlans,
+		OnEvent:     n.feedReporter("plan"),
+		OnCall:      n.callReporter("plan"),
+		OnResponse: func(call feed.Call, revision int64, clock time.Duration) {
+			n.shareProof(n.servers, call, revision, clock)
+		},
+	}
+	servers := feed.Config[Server]{
+		Source:       n.config.Servers,
+		Clock:        n.config.Clock,
+		WatchWait:    watchWait,
+		WatchPause:   serverBatchDelay(n.config.Bounds.DrainTimeout, n.config.Heartbeat),
+		MaxUnproved:  maxUnproved(n.config.Bounds.DrainTimeout, n.config.Heartbeat),
+		LapseGrace:   serverLapseGrace,
+		LapseTime:    time.Duration(lapseHeartbeats * float64(n.config.Heartbeat)),
+		RemovalGrace: time.Duration(serverRemovalGraceFraction * float64(n.config.Bounds.DrainTimeout)),
+		Apply:        func(rows map[string]Server) { n.relay.installServers(rows) },
+		OnEvent:      n.feedReporter("servers"),
+		OnCall:       n.callReporter("servers"),
+		OnResponse: func(call feed.Call, revision int64, clock time.Duration) {
+			n.shareProof(n.plans, call, revision, clock)
+		},
+	}
+	if n.servesDetours() {
+		plans.Detour = detour(n, n.config.PeerTables.Plans)
+		servers.Detour = detour(n, n.config.PeerTables.Servers)
+	}
+	n.plans, n.servers = feed.NewFollower(plans), feed.NewFollower(servers)
+}
+
 // applyPlans installs the newest plan.
 func (n *Node) applyPlans(plans map[string]Plan) {
 	for _, plan := range plans {
@@ -109,6 +148,8 @@
 		case e.Silent:
 			n.log.StateChange().Str("table", table).Dur("open", e.Open).Int64("received", e.Bytes).
 				Dur("age", e.Age).Msg("watch was silent")
+		case e.Detour:
+			n.log.RepeatedFailure(time.Now(), table+" detour", e.Err).Str("table", table).Msg("detour failed")
 		case e.Compacted:
 			n.log.StateChange().Str("table", table).Dur("age", e.Age).Msg("table read again")
 		default:
