Drop a read that was overtaken by a newer copy

Cause: while the store is hard to reach, a read of its own and one through another router may be in progress at the same time, and the response that arrived last won. Change: a read that was sent before the copy was last updated, and has a lower revision, is not applied. One that was sent later is, as the store may have lost changes. TestLateReadDoesNotBringAnOlderCopyBack fails before.

--- a/coordination/feed/detour_test.go
+++ b/coordination/feed/detour_test.go
@@ -105,3 +105,37 @@
 		e.Expect(g.copyOf(0)).NotTo(gomega.HaveKey("b"))
 	})
 }
+
+// Guards against a read whose response is overtaken by a newer one through another
+// process, and then brings an older copy back as a current one.
+func TestLateReadDoesNotBringAnOlderCopyBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := gomega.NewWithT(t)
+		source := &cutSource{fakeTable: newFakeTable()}
+		source.put("a", "0")
+		var others atomic.Bool
+		g := startGroupWith(t, source.fakeTable, 1, 0, func(c *feed.Config[string]) {
+			c.Source, c.ReadMissed = source, true
+			c.Detour = func() (feed.Source[string], bool) { return source.fakeTable, others.Load() }
+		})
+		time.Sleep(time.Second)
+		source.cut.Store(true)
+		time.Sleep(2 * time.Second)
+		source.put("a", "1")
+		tellNewest(g, source.fakeTable)
+		before := source.requests
+		source.setLag(500 * time.Millisecond)
+		source.cut.Store(false)
+		for source.requests == before {
+			time.Sleep(10 * time.Millisecond)
+		}
+		source.put("a", "2")
+		source.setLag(0)
+		others.Store(true)
+		e.Expect(awaitRow(t, g, "2")).To(gomega.BeNumerically("<", 200*time.Millisecond))
+		for range 50 {
+			time.Sleep(10 * time.Millisecond)
+			e.Expect(g.copyOf(0)).To(gomega.HaveKeyWithValue("a", "2"))
+		}
+	})
+}
--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -57,6 +57,9 @@
 	spreadWatch bool
 	compacted   bool
 
+	// appliedAt is when a response was last applied to the copy.
+	appliedAt time.Duration
+
 	// failingSince is when the current outage began, if failing is set.
 	failing      bool
 	failingSince time.Duration
--- a/coordination/feed/outcome.go
+++ b/coordination/feed/outcome.go
@@ -121,6 +121,10 @@
 // apply applies a response to the copy and records what it proves. It reports
 // whether the response had changes that the copy lacked.
 func (f *Follower[T]) apply(r result[T], now time.Duration) bool {
+	if f.overtaken(r) {
+		return false
+	}
+	f.appliedAt = now
 	full := r.call.kind == ReadCall
 	var newest int64
 	changed := true
@@ -141,6 +145,14 @@
 	return full || newest > 0
 }
 
+// overtaken reports whether the response to a read is older than the copy, which
+// was brought up to date while the read was in progress. A read that was sent later
+// may have a lower revision too, if the table's store lost changes.
+func (f *Follower[T]) overtaken(r result[T]) bool {
+	return r.call.kind == ReadCall && f.copy.loaded && r.call.sent < f.appliedAt &&
+		r.response.Revision < f.copy.revision
+}
+
 // wasSilent reports whether a watch got no response while the copy was proved by
 // other means. The table is not away then, only the watch's connection is silent.
 func (f *Follower[T]) wasSilent(r result[T]) bool {
--- a/coordination/feed/proof_test.go
+++ b/coordination/feed/proof_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"snipetally.example/coordination/feed"
 )
 
 // TestProvedCopiesHoldEveryEarlierChange runs random sequences of writes, outages,
@@ -13,12 +15,36 @@
 	checkSteps(t, 10, 2000, runFaults)
 }
 
+// TestProvedCopiesHoldEveryEarlierChangeWhileCutOff is the same with followers that
+// are cut off from the table now and then, reach it through another one then, and
+// read what they missed.
+func TestProvedCopiesHoldEveryEarlierChangeWhileCutOff(t *testing.T) {
+	checkSteps(t, 14, 2000, runCuts)
+}
+
+// runCuts is runFaults with followers whose source can be cut.
+func runCuts(t *testing.T, steps, pauses []int) string {
+	source := &cutSource{fakeTable: newFakeTable()}
+	source.put("n", "0")
+	g := startGroupWith(t, source.fakeTable, 3, 100*time.Millisecond, func(c *feed.Config[string]) {
+		c.Source = source
+		c.ReadMissed = true
+		c.Detour = func() (feed.Source[string], bool) { return source.fakeTable, true }
+	})
+	return runFaultsOf(g, source, steps, pauses)
+}
+
 // runFaults writes increasing numbers to a row and returns a description of the
 // first violation, or an empty string.
 func runFaults(t *testing.T, steps, pauses []int) string {
-	table := newFakeTable()
-	table.put("n", "0")
-	g := startGroup(t, table, 3, 100*time.Millisecond)
+	source := &cutSource{fakeTable: newFakeTable()}
+	source.put("n", "0")
+	return runFaultsOf(startGroup(t, source.fakeTable, 3, 100*time.Millisecond), source, steps, pauses)
+}
+
+// runFaultsOf runs the steps against a group.
+func runFaultsOf(g *group, source *cutSource, steps, pauses []int) string {
+	table := source.fakeTable
 	end := func() {}
 	written := map[int]time.Duration{}
 	number := 0
@@ -42,6 +68,10 @@
 			table.setLag(500 * time.Millisecond)
 		case 7:
 			table.setLag(0)
+		case 11:
+			source.cut.Store(true)
+		case 12:
+			source.cut.Store(false)
 		default:
 			number++
 			written[number] = table.clock()
