Bound calls by their progress in a package of its own

The rule that the follower applies to calls to the store, a time to begin, one to stall and one in all, is what every transfer of unknown size needs.

--- a/coordination/feed/calls.go
+++ b/coordination/feed/calls.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
+	"snipetally.example/coordination/progress"
 )
 
 const (
@@ -43,14 +42,13 @@
 	missedDelay = 100 * time.Millisecond
 )
 
-// errSilent means that no part of a response arrived for too long.
-const errSilent = errors.ConstError("no response")
-
 // call is a call in progress.
 type call struct {
-	kind   Call
-	sent   time.Duration
-	cancel context.CancelCauseFunc
+	kind Call
+	sent time.Duration
+
+	// drop cancels the call because its result is no longer needed.
+	drop func()
 
 	// mu guards the fields below, which belong to the response: how much of it
 	// has arrived, and when its first and its latest part did.
@@ -82,9 +80,6 @@
 	return c.bytes, c.begunAt, c.progressAt
 }
 
-// drop cancels the call because its result is no longer needed.
-func (c *call) drop() { c.cancel(ErrDropped) }
-
 // result is the end of a call.
 type result[T any] struct {
 	call     *call
@@ -151,33 +146,25 @@
 }
 
 // start makes a call in a goroutine that ends with the call. The call is canceled
-// if its response does not begin within a timeout, or stops arriving. The time for
-// the whole response is not bounded more closely, as a large one on a slow link
-// would have to be asked for again from its start.
+// if its response does not begin within a timeout, or stops arriving.
 func (f *Follower[T]) start(
 	ctx context.Context, now time.Duration, kind Call, timeout time.Duration,
 	request func(context.Context, Received) (Response[T], error),
 ) *call {
-	timeoutCtx, stop := context.WithTimeout(ctx, timeout+maxTransferTime)
-	callCtx, cancel := context.WithCancelCause(timeoutCtx)
-	c := &call{kind: kind, sent: now, cancel: cancel}
-	silence := time.AfterFunc(timeout, func() { cancel(errSilent) })
+	callCtx, watch := progress.Begin(ctx, progress.Timeouts{
+		Begin: timeout, Stall: stallTimeout, Total: timeout + maxTransferTime,
+	})
+	c := &call{kind: kind, sent: now, drop: func() { watch.Cancel(ErrDropped) }}
 	received := func(bytes int) {
-		if bytes == 0 {
-			return
-		}
-		silence.Reset(stallTimeout)
-		if c.record(f.config.Clock(), bytes) {
+		watch.Passed(bytes)
+		if bytes > 0 && c.record(f.config.Clock(), bytes) {
 			f.signal()
 		}
 	}
 	go func() {
-		defer stop()
+		defer watch.Stop()
 		response, err := request(callCtx, received)
-		silence.Stop()
-		if cause := context.Cause(callCtx); err != nil && cause != nil {
-			err = fmt.Errorf("%w: %w", cause, err)
-		}
+		err = watch.Explain(err)
 		select {
 		case f.results <- result[T]{call: c, response: response, err: err}:
 		case <-ctx.Done():
--- a/coordination/feed/outcome.go
+++ b/coordination/feed/outcome.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"snipetally.example/coordination/progress"
 )
 
 // handle processes the end of a call, unless the call was dropped.
@@ -156,7 +158,7 @@
 // wasSilent reports whether a watch got no response while the copy was proved by
 // other means. The table is not away then, only the watch's connection is silent.
 func (f *Follower[T]) wasSilent(r result[T]) bool {
-	return r.call.kind == WatchCall && errors.Is(r.err, errSilent) &&
+	return r.call.kind == WatchCall && errors.Is(r.err, progress.ErrSilent) &&
 		f.age(f.config.Clock()) <= f.config.MaxUnproved
 }
 
--- a/coordination/feed/transfer.go
+++ b/coordination/feed/transfer.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"snipetally.example/coordination/progress"
 )
 
 // A response with large rows takes long on a slow link, and shares the link with
@@ -96,6 +98,6 @@
 // noticeOutage records an outage if it is due.
 func (f *Follower[T]) noticeOutage(now time.Duration) {
 	if f.asking && !f.failing && len(f.short) > 0 && now >= f.outageDue(now) {
-		f.failed(f.short[0], errSilent)
+		f.failed(f.short[0], progress.ErrSilent)
 	}
 }
