--- a/coordination/feed/follower_test.go
+++ b/coordination/feed/follower_test.go
@@ -172,14 +172,7 @@
 	written := map[int]time.Duration{}
 	number := 0
 	for i, step := range steps {
-		switch step {
-		case 0:
-			table.setDown(true)
-		case 1:
-			table.setDown(false)
-		case 2:
-			table.compact()
-		default:
+		if !disturb(table, step) {
 			number++
 			written[number] = table.clock()
 			table.put("n", fmt.Sprint(number))
@@ -192,6 +185,22 @@
 	return ""
 }
 
+// disturb makes a table unavailable or available, or removes its history, if that is
+// what the step says, and otherwise returns false.
+func disturb(table *fakeTable, step int) bool {
+	switch step {
+	case 0:
+		table.setDown(true)
+	case 1:
+		table.setDown(false)
+	case 2:
+		table.compact()
+	default:
+		return false
+	}
+	return true
+}
+
 // compareWithWritten returns a description of a number that was written to the
 // row n before the time as of which the follower's copy counts as current but is
 // missing there, or an empty string.
--- a/coordination/feed/proof_test.go
+++ b/coordination/feed/proof_test.go
@@ -50,12 +50,8 @@
 	number := 0
 	for i, step := range steps {
 		switch step {
-		case 0:
-			table.setDown(true)
-		case 1:
-			table.setDown(false)
-		case 2:
-			table.compact()
+		case 0, 1, 2:
+			disturb(table, step)
 		case 3:
 			end()
 			end = table.silence()
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -53,14 +53,29 @@
 		}
 	}
 	if p.choice.Server != "" {
-		event = event.Dur("expected", p.choice.ExpectedLatency).Str("chosen", p.choice.Server).Strs("servers", p.tried).Int("prompt", p.info.PromptTokens).Int("runs", p.executions).Float64("cost", p.choice.Cost).
-			Float64("next", p.choice.NextCost).Int("backlog", p.choice.QueuedTokens).Int("load", p.choice.Running).
-			Bool("kept", p.choice.Cached).Int("speed", int(p.choice.PrefillSpeed)).Int("apart", p.choice.ShortServers).
-			Dur("listed", p.listAge).Dur("sent", p.sendDelay)
+		event = p.addChoiceFields(event)
 	}
 	return event
 }
 
+// addChoiceFields adds what is known about the last choice of a server.
+func (p *proxiedRequest) addChoiceFields(event *zerolog.Event) *zerolog.Event {
+	return event.Dur("expected", p.choice.ExpectedLatency).
+		Str("chosen", p.choice.Server).
+		Strs("servers", p.tried).
+		Int("prompt", p.info.PromptTokens).
+		Int("runs", p.executions).
+		Float64("cost", p.choice.Cost).
+		Float64("next", p.choice.NextCost).
+		Int("backlog", p.choice.QueuedTokens).
+		Int("load", p.choice.Running).
+		Bool("kept", p.choice.Cached).
+		Int("speed", int(p.choice.PrefillSpeed)).
+		Int("apart", p.choice.ShortServers).
+		Dur("listed", p.listAge).
+		Dur("sent", p.sendDelay)
+}
+
 // logUnserved logs a request that was not served. The key status holds the
 // response's status code, or 0 if the response was cut off or the caller had
 // disconnected.
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -48,8 +48,9 @@
 			failed.Inc(1)
 		}
 		if report.Err == nil && report.Changes > 0 {
-			n.log.StateChange().Str("table", table).Stringer("call", report.Call).Bool("indirect", report.Indirect).Int64("revision", report.Revision).
-				Int("changes", report.Changes).Int64("received", report.Bytes).Dur("open", report.Open).Msg("changes received")
+			n.log.StateChange().Str("table", table).Stringer("call", report.Call).Bool("indirect", report.Indirect).
+				Int64("revision", report.Revision).Int("changes", report.Changes).Int64("received", report.Bytes).
+				Dur("open", report.Open).Msg("changes received")
 		}
 	}
 }
