--- a/coordination/feed/proof_test.go
+++ b/coordination/feed/proof_test.go
@@ -9,8 +9,9 @@
 )
 
 // TestProvedCopiesHoldEveryEarlierChange runs random sequences of writes, outages,
-// silences, late responses and compactions against followers that exchange proofs. Each copy must hold all that was written before the time as of which it
-// counts as proved.
+// silences, late responses and compactions against followers that exchange proofs.
+// Each copy must hold all that was written before the time as of which it counts as
+// proved.
 func TestProvedCopiesHoldEveryEarlierChange(t *testing.T) {
 	checkSteps(t, 10, 2000, runFaults)
 }
@@ -68,6 +69,11 @@
 			source.cut.Store(true)
 		case 12:
 			source.cut.Store(false)
+		case 13:
+			// Calls in progress are overtaken by later ones.
+			table.setLag(1500 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+			table.setLag(0)
 		default:
 			number++
 			written[number] = table.clock()
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -200,8 +200,8 @@
 }
 
 // updateBalancer gives the balancer the servers that accept requests, after which
-// the relay can choose one. Whether they are model engines depends on the plan, which may arrive after the
-// servers. The caller holds r.installMu.
+// the relay can choose one. Whether they are model engines depends on the plan,
+// which may arrive after the servers. The caller holds r.installMu.
 func (r *relay) updateBalancer() {
 	index := r.index.Load()
 	if index == nil {
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -28,10 +28,10 @@
 }
 
 // callReporter returns a function that counts calls to a table by kind, the failed
-// ones, and the bytes received, and logs responses that change the copy. In the
-// line, received holds the size of the response in bytes, open how long the call
-// was in progress, in milliseconds, changes the number of rows, and indirect whether it
-// came through another router.
+// ones, and the bytes received, and logs responses with changes. In the line,
+// received holds the size of the response in bytes, open how long the call was in
+// progress in milliseconds, changes the number of rows, and indirect whether it came
+// through another router.
 func (n *Node) callReporter(table string) func(feed.CallReport) {
 	prefix := "table." + table + "."
 	counters := map[feed.Call]metrics.Counter{
@@ -57,8 +57,8 @@
 
 // registerGauges registers gauges that are computed when read: the version of
 // the plan and its age in milliseconds, both -1 without a plan, for how
-// many milliseconds a newer version has been known to exist, 0 if none is, the age
-// of the list of servers in milliseconds, -1 without one, the number of requests in
+// many milliseconds a newer version has been known to exist, 0 if none is, the age of
+// the list of servers in milliseconds, -1 without one, the number of requests in
 // progress, and the number of log lines that were dropped.
 func (n *Node) registerGauges() {
 	gauges := map[string]func() int64{
