--- a/coordination/feed/bytes_test.go
+++ b/coordination/feed/bytes_test.go
@@ -65,7 +65,7 @@
 			table.put("a", row("1", mediumRow))
 			time.Sleep(bound)
 			// A check that is sent before the first part arrives takes a part of its own.
-			e.Expect(mostCarried(sources)-first).To(gomega.BeNumerically("<=", mediumRow+linkChunk))
+			e.Expect(mostCarried(sources) - first).To(gomega.BeNumerically("<=", mediumRow+linkChunk))
 
 			for _, s := range sources {
 				s.cut.Store(true)
