Log the prompt parts of broken attempts and the servers that ended

Cause: no line showed what crashed runs had in common, whether an attempt had begun, or whether a server ended or broke off one response. Change: lines of failed attempts have the IDs of the prompt's shared parts and whether the attempt had started. A router that sees connections to a server break checks with one connection whether it still listens, and logs and counts servers that ended. Nothing acts on it yet.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -93,6 +93,9 @@
 	defer p.relay.streams.remove(p)
 	watch := p.watch(ctx, target.ID, at.reservation, cancel)
 	result, err := p.exchange(ctx, at, target, watch)
+	if connectionBroke(ctx, result, err) {
+		p.relay.recordBroken(target, brokenAttempt{started: p.started, parts: p.sharedParts()})
+	}
 	return result, watch.finish(), err
 }
 
@@ -134,7 +137,7 @@
 	if !slices.Contains(p.tried, at.choice.Server) {
 		p.tried = append(p.tried, at.choice.Server)
 	}
-	p.sendDelay = 0
+	p.sendDelay, p.started = 0, false
 }
 
 // countExecution counts a run of the request. A run that was migrated counts once.
@@ -263,7 +266,7 @@
 		p.fallback = buffered
 		return serverError, nil
 	}
-	reservation.RecordFirstEvent(time.Now())
+	p.recordStart(reservation)
 	p.recordFirstByte()
 	if err := p.writeBuffered(buffered); err != nil {
 		return callerGone, err
@@ -271,6 +274,12 @@
 	return answered, nil
 }
 
+// recordStart records that the attempt delivered an event or a complete response.
+func (p *proxiedRequest) recordStart(reservation *placement.Reservation) {
+	p.started = true
+	reservation.RecordFirstEvent(time.Now())
+}
+
 // bufferResponse reads a response to its end.
 func bufferResponse(response *hop.Response, watch *watchdog) (*bufferedResponse, error) {
 	var body bytes.Buffer
--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -29,6 +29,9 @@
 	// response in tokens, or zero.
 	ExpectedOutputTokens int
 
+	// Model is the name of the model that the request asks for, or empty.
+	Model string
+
 	// Parts are the parts of the prompt, in order. Requests may share leading
 	// parts; the last part is specific to the request.
 	Parts []PromptPart
--- /dev/null
+++ b/router/relay/crash.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/hop"
+)
+
+const (
+	// crashCollectTime is how long the broken attempts at a server are collected
+	// before the server is checked. When it ends, its connections break within
+	// milliseconds.
+	crashCollectTime = 20 * time.Millisecond
+
+	// crashCheckTimeout bounds the connection by which a server is checked.
+	crashCheckTimeout = 300 * time.Millisecond
+)
+
+// brokenAttempt is an attempt whose connection broke.
+type brokenAttempt struct {
+	// started says that it had delivered an event, or a complete response that is
+	// no stream.
+	started bool
+	parts   []PromptPart
+}
+
+// crashDetector tells servers that ended from those that broke off a response. Both
+// show as broken connections, but a server that has ended refuses new ones. A
+// server that can't be reached is not taken for one that ended.
+type crashDetector struct {
+	// mu guards collecting, which holds the broken attempts at servers that are
+	// about to be checked.
+	mu         sync.Mutex
+	collecting map[serverLifetime]*crashCheck
+}
+
+// crashCheck is a check of one server.
+type crashCheck struct {
+	attempts []brokenAttempt
+
+	// done is closed when the check is over.
+	done chan struct{}
+}
+
+// newCrashDetector returns a detector without checks.
+func newCrashDetector() *crashDetector {
+	return &crashDetector{collecting: make(map[serverLifetime]*crashCheck)}
+}
+
+// recordBroken records a broken attempt at a server and has the server checked. The
+// returned channel is closed when the check is over.
+func (r *relay) recordBroken(s *backendServer, attempt brokenAttempt) <-chan struct{} {
+	d := r.crashes
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	check, ok := d.collecting[s.lifetime()]
+	if !ok {
+		check = &crashCheck{done: make(chan struct{})}
+		d.collecting[s.lifetime()] = check
+		time.AfterFunc(crashCollectTime, func() { r.checkServer(s, check) })
+	}
+	check.attempts = append(check.attempts, attempt)
+	return check.done
+}
+
+// checkServer ends the collection of broken attempts at a server and finds out
+// whether the server has ended.
+func (r *relay) checkServer(s *backendServer, check *crashCheck) {
+	defer close(check.done)
+	r.crashes.mu.Lock()
+	delete(r.crashes.collecting, s.lifetime())
+	r.crashes.mu.Unlock()
+	err := connect(s.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		r.metrics.crashes.Inc(1)
+		r.logCrash(s, check.attempts)
+	}
+}
+
+// connect opens a connection to an address and closes it.
+func connect(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return err //nolint:wrapcheck // The caller looks at its kind only.
+	}
+	return conn.Close() //nolint:wrapcheck // As above.
+}
+
+// maxCrashParts is the number of prompt parts in the line about a crash.
+const maxCrashParts = 32
+
+// logCrash logs that a server ended. The keys broken and unstarted hold the number of
+// this router's attempts there that broke, and of those that had delivered nothing.
+// parts holds the IDs of the prompts' parts of the latter, those in most of them
+// first.
+func (r *relay) logCrash(s *backendServer, attempts []brokenAttempt) {
+	unstarted := 0
+	counts := make(map[uint64]int)
+	for _, a := range attempts {
+		if a.started {
+			continue
+		}
+		unstarted++
+		for _, part := range a.parts {
+			counts[part.ID]++
+		}
+	}
+	ids := make([]uint64, 0, len(counts))
+	for id := range counts {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b uint64) int { return counts[b] - counts[a] })
+	var parts []string
+	for _, id := range ids[:min(len(ids), maxCrashParts)] {
+		parts = append(parts, strconv.FormatUint(id, 16))
+	}
+	r.options.log.StateChange().Str("server", s.ID).Str("service", s.Service).Str("address", s.Address).
+		Int("broken", len(attempts)).Int("unstarted", unstarted).Strs("parts", parts).Msg("backend server crashed")
+}
+
+// connectionBroke reports whether an attempt without a complete response failed
+// because its connection broke.
+func connectionBroke(ctx context.Context, result attemptResult, err error) bool {
+	return result == incomplete && ctx.Err() == nil && !errors.Is(err, errUnsigned) && !errors.Is(err, hop.ErrUnmatchedResponses)
+}
--- a/router/relay/departures.go
+++ b/router/relay/departures.go
@@ -24,6 +24,9 @@
 	startedAt time.Time
 }
 
+// lifetime returns the lifetime that an entry is about.
+func (s Server) lifetime() serverLifetime { return serverLifetime{id: s.ID, startedAt: s.StartedAt} }
+
 // newDepartures returns an empty memory.
 func newDepartures() *departures {
 	return &departures{lastSeen: make(map[serverLifetime]time.Duration)}
@@ -33,7 +36,7 @@
 // leave, and returns the IDs of those whose entries say otherwise.
 func (d *departures) correct(now time.Duration, servers map[string]Server) (outdated []string) {
 	for id, s := range servers {
-		lifetime := serverLifetime{id: id, startedAt: s.StartedAt}
+		lifetime := s.lifetime()
 		_, leaving := d.lastSeen[lifetime]
 		if leaving && !s.Draining {
 			s.Draining = true
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -102,20 +103,41 @@
 	}
 }
 
-// logLastAttempt logs a failed attempt that is not retried. The key outcome
-// holds the result of the attempt.
+// logLastAttempt logs a failed attempt that is not retried, with the keys of
+// addAttemptFields.
 func (p *proxiedRequest) logLastAttempt(result attemptResult, err error) {
-	p.addRequestFields(p.relay.options.log.Request(time.Now(), err)).Stringer("outcome", result).Msg("last attempt failed")
+	p.addAttemptFields(p.relay.options.log.Request(time.Now(), err), result).Msg("last attempt failed")
 }
 
-// logRetry logs a failed attempt that is retried. The key outcome holds the
-// result of the attempt, begun says whether the caller already has the head of a
+// maxLoggedParts is the number of prompt parts in a line.
+const maxLoggedParts = 16
+
+// addAttemptFields adds what is known about an attempt that failed to the fields of
+// its request:
+//
+//   - outcome: the result of the attempt
+//   - started: whether it had delivered an event
+//   - parts: the IDs of the prompt's parts but the last, in hexadecimal, as far as
+//     maxLoggedParts
+func (p *proxiedRequest) addAttemptFields(event *zerolog.Event, result attemptResult) *zerolog.Event {
+	var parts []string
+	for _, part := range p.sharedParts() {
+		if len(parts) == maxLoggedParts {
+			break
+		}
+		parts = append(parts, strconv.FormatUint(part.ID, 16))
+	}
+	return p.addRequestFields(event).Stringer("outcome", result).Bool("started", p.started).Strs("parts", parts)
+}
+
+// logRetry logs a failed attempt that is retried, with the keys of
+// addAttemptFields. begun says whether the caller already has the head of a
 // response, and last holds the ID of the last event that the caller has.
 func (p *proxiedRequest) logRetry(result attemptResult, err error) {
 	if p.headWritten {
 		p.relay.metrics.resumed.Inc(1)
 	}
-	p.addRequestFields(p.relay.options.log.Request(time.Now(), err)).Stringer("outcome", result).Bool("begun", p.headWritten).
+	p.addAttemptFields(p.relay.options.log.Request(time.Now(), err), result).Bool("begun", p.headWritten).
 		Str("last", p.lastEventID).Msg("request repeated")
 }
 
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -23,8 +23,8 @@
 	registry metrics.Registry
 
 	// resumed counts the retries after the response had begun, silent the times
-	// that a server made no progress for longer than a healthy one takes, and
-	// stale the requests that were refused for lack of a current plan. firstByte
+	// that a server made no progress for longer than a healthy one takes, crashes
+	// the servers that ended while attempts were in progress there, and stale the requests that were refused for lack of a current plan. firstByte
 	// is the time to the first byte of a response, in milliseconds.
 	requests  metrics.Counter
 	served    metrics.Counter
@@ -34,6 +34,7 @@
 	retries   metrics.Counter
 	resumed   metrics.Counter
 	silent    metrics.Counter
+	crashes   metrics.Counter
 	stale     metrics.Counter
 	firstByte metrics.Histogram
 
@@ -82,6 +83,7 @@
 		retries:   metrics.GetOrRegisterCounter("attempts.repeated", registry),
 		resumed:   metrics.GetOrRegisterCounter("attempts.resumed", registry),
 		silent:    metrics.GetOrRegisterCounter("attempts.silent", registry),
+		crashes:   metrics.GetOrRegisterCounter("servers.crashed", registry),
 		stale:     metrics.GetOrRegisterCounter("keys.stale", registry),
 		firstByte: metrics.GetOrRegisterHistogram("answers.first", registry,
 			metrics.NewUniformSample(histogramSamples)),
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -79,6 +79,7 @@
 	retryBudget *retrybudget.Budget
 	streams     *streamRegistry
 	metrics     *requestMetrics
+	crashes     *crashDetector
 
 	index    atomic.Pointer[planIndex]
 	servers  atomic.Pointer[map[string]*backendServer]
@@ -128,6 +129,7 @@
 		retryBudget: retrybudget.NewBudget(options.bounds.RetryRatio, options.bounds.RetryWindow),
 		metrics:     newRequestMetrics(options.metrics),
 		departures:  newDepartures(),
+		crashes:     newCrashDetector(),
 	}
 	r.servers.Store(&map[string]*backendServer{})
 	r.setBounds(options.bounds)
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -73,6 +73,10 @@
 	chosenAt time.Time
 	listAge  time.Duration
 
+	// started says that the last attempt delivered an event, or a complete
+	// response that is no stream.
+	started bool
+
 	// sendDelay is the time from the last choice to the first byte written to
 	// the server, or zero if none was written.
 	sendDelay time.Duration
@@ -320,6 +324,11 @@
 	p.relay.retryBudget.RecordRequest(p.arrivedAt, p.service)
 }
 
+// sharedParts returns the parts of the prompt that other requests may have too.
+func (p *proxiedRequest) sharedParts() []PromptPart {
+	return p.info.Parts[:max(len(p.info.Parts)-1, 0)]
+}
+
 // defaultTimeout applies to a request if neither its caller nor its class sets
 // a timeout.
 const defaultTimeout = 60 * time.Second
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -41,7 +41,7 @@
 		n, err := body.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
 		if complete := completeEventsLen(pending); complete > 0 {
-			reservation.RecordFirstEvent(time.Now())
+			p.recordStart(reservation)
 			longest := p.longestGap
 			if err := p.forward(response, pending[:complete]); err != nil {
 				return callerGone, err
