Take an unframed stream without events for broken off

Callers saw: 200 with an empty body, as a complete response, if a server that sends neither a length nor chunks ended after the head and before its first event. Cause: a stream counts as complete if no incomplete event is left at its end, and nothing was. Change: such a stream is an incomplete attempt, unless it was resumed after an event.

--- a/router/relay/quarantine_test.go
+++ b/router/relay/quarantine_test.go
@@ -94,6 +94,23 @@
 	g.Expect(r.callWithParts(t, 300, "c1", badPart).status).To(gomega.Equal(http.StatusBadGateway), "an operator lifted the verdict")
 }
 
+// Guards against a stream without a length or chunks whose server ends before its first
+// event, and which its caller takes for complete and empty.
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	r, _ := startNode(t, newPlan(newClass("a", relay.Stream, 1)), func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\n" + attemptHeader + ": attempt-1\r\n" + signedHeader + ": yes\r\n\r\n")
+		_ = buffer.Flush()
+		_ = conn.Close()
+	})
+	g.Expect(r.call(t, http.MethodPost, "/a/x", "").status).To(gomega.Equal(http.StatusBadGateway))
+}
+
 // Guards against a request that its router takes from one engine to the next while each
 // of them crashes.
 func TestRouterStopsRepeatingARequestThatCrashesEngines(t *testing.T) {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -64,6 +64,8 @@
 		return incomplete, err
 	case len(bytes.TrimSpace(rest)) > 0:
 		return incomplete, errTruncated
+	case !response.SelfDelimiting && !p.started && p.lastEventID == "":
+		return incomplete, errTruncated // Nothing tells its end from that of the server.
 	}
 	if err := p.writeHead(response.Status, response.Header); err != nil {
 		return callerGone, err
