Know a bad prompt part sooner at further services and models

Cause: a verdict holds for one service and model. A part that crashes the engines of several had to be learned at each of them, with four crashes or more. And an attempt that timed out, as the path was cut, had its server checked before it was repeated, which takes up to 0.3 s. Change: a part under a verdict of its own elsewhere is on probation where it is new, so that one crash gives a verdict there. Attempts that timed out are no sign of a crash. Conclusion: a part that crashes engines of k services or models costs k-1 further crashes instead of 4(k-1).

--- a/router/internal/quarantine/judge.go
+++ b/router/internal/quarantine/judge.go
@@ -67,6 +67,9 @@
 		credit := l.credits.of(key)
 		s = &suspect{key: key, score: -credit, credit: credit, firstAt: now, crashedAt: now}
 		l.suspects[key] = s
+		if _, ok := l.guilty[key.Part]; ok { // At another service or model.
+			s.putOnProbation(now, []uint64{key.Part})
+		}
 	}
 	return s
 }
@@ -92,7 +95,7 @@
 		if s.score < verdictScore || len(s.requests) < minRequests || now.Sub(s.firstAt) < l.clearTime(now) || l.suspects[s.key] != s {
 			continue
 		}
-		parts, ok := l.guilty(s)
+		parts, ok := l.culprits(s)
 		if !ok {
 			continue
 		}
@@ -125,10 +128,10 @@
 	return clearTime
 }
 
-// guilty returns the parts of the verdict on a suspect: the part, and those that can't
+// culprits returns the parts of the verdict on a suspect: the part, and those that can't
 // be told from it. It returns false if another part is as suspect and further crashes
 // can tell which of them it is. The caller holds l.mu.
-func (l *Ledger) guilty(s *suspect) ([]uint64, bool) {
+func (l *Ledger) culprits(s *suspect) ([]uint64, bool) {
 	parts := []uint64{s.key.Part}
 	for key, other := range l.suspects {
 		if other == s || key.Scope != s.key.Scope {
--- a/router/internal/quarantine/ledger.go
+++ b/router/internal/quarantine/ledger.go
@@ -28,8 +28,10 @@
 	suspects map[Key]*suspect
 	verdicts map[verdictKey]*judgement
 
-	// inForce holds the verdicts in force by each of their parts.
+	// inForce holds the verdicts in force by each of their parts, and guilty the parts
+	// that are the only ones of a verdict in some scope.
 	inForce map[Key][]*judgement
+	guilty  map[uint64]struct{}
 
 	// explained holds when engines crashed whose crashes a verdict explains. They say
 	// nothing about other parts.
@@ -70,7 +72,7 @@
 	return &Ledger{
 		name: name, mayTry: mayTry, startedAt: now, credits: newCredits(now),
 		suspects: make(map[Key]*suspect), verdicts: make(map[verdictKey]*judgement),
-		inForce: make(map[Key][]*judgement), explained: make(map[uint64]time.Time),
+		inForce: make(map[Key][]*judgement), guilty: make(map[uint64]struct{}), explained: make(map[uint64]time.Time),
 	}
 }
 
@@ -228,9 +230,7 @@
 		return
 	}
 	for _, part := range v.Parts {
-		s := l.suspect(now, Key{Scope: v.Scope, Part: part})
-		s.score, s.credit, s.firstAt = probationScore, 0, now.Add(-newClearTime)
-		s.requests, s.companions = slices.Repeat([]uint64{0}, minRequests), v.Parts
+		l.suspect(now, Key{Scope: v.Scope, Part: part}).putOnProbation(now, v.Parts)
 	}
 }
 
@@ -314,6 +314,7 @@
 		delete(l.verdicts, oldest.key())
 	}
 	clear(l.inForce)
+	clear(l.guilty)
 	for _, j := range l.verdicts {
 		if j.Lifted {
 			continue
@@ -322,6 +323,9 @@
 			key := Key{Scope: j.Scope, Part: part}
 			l.inForce[key] = append(l.inForce[key], j)
 		}
+		if len(j.Parts) == 1 {
+			l.guilty[j.Parts[0]] = struct{}{}
+		}
 	}
 	l.countTracked()
 }
--- a/router/internal/quarantine/ledger_test.go
+++ b/router/internal/quarantine/ledger_test.go
@@ -88,6 +88,21 @@
 	g.Expect(elsewhere.Refused).To(gomega.BeFalse(), "another model may answer it")
 }
 
+// Guards against a part that crashes engines of one service or model after the other,
+// and has to be learned at each of them from the start.
+func TestPartIsSoonKeptOutInFurtherScopes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHistory(nil)
+	h.crashUntilVerdict(g, bad)
+	further := h.newRun(popular, bad)
+	further.Scope.Model = "n"
+	h.now = h.now.Add(time.Second)
+	verdicts := h.crashNow(further)
+	g.Expect(verdicts).To(gomega.HaveLen(1))
+	g.Expect(verdicts[0].Scope.Model).To(gomega.Equal("n"))
+	g.Expect(verdicts[0].Parts).To(gomega.Equal([]uint64{bad}))
+}
+
 // Guards against a part that crashes most engines only, and starts soundly at others.
 func TestPartThatCrashesSevenEnginesOfTenIsKeptOut(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/router/internal/quarantine/suspect.go
+++ b/router/internal/quarantine/suspect.go
@@ -68,7 +68,14 @@
 	if len(s.requests) < maxSuspectRequests && !slices.Contains(s.requests, run.Session) {
 		s.requests = append(s.requests, run.Session)
 	}
-	s.companions = slices.DeleteFunc(s.companions, func(part uint64) bool { return !slices.Contains(run.Parts, part) })
+	s.companions = slices.DeleteFunc(slices.Clone(s.companions), func(part uint64) bool { return !slices.Contains(run.Parts, part) })
+}
+
+// putOnProbation makes the part suspect to a degree that one more crash gives a verdict.
+// Until a request with it crashes, the parts are its companions.
+func (s *suspect) putOnProbation(now time.Time, companions []uint64) {
+	s.score, s.credit, s.firstAt = probationScore, 0, now.Add(-newClearTime)
+	s.requests, s.companions = slices.Repeat([]uint64{0}, minRequests), companions
 }
 
 // cleared reports whether the sound starts outweigh the crashes.
--- a/router/relay/crash.go
+++ b/router/relay/crash.go
@@ -181,7 +181,8 @@
 }
 
 // connectionBroke reports whether an attempt without a complete response failed
-// because its connection broke.
+// because its connection broke. One that timed out was cut on the way.
 func connectionBroke(ctx context.Context, result attemptResult, err error) bool {
-	return result == incomplete && ctx.Err() == nil && !errors.Is(err, errUnsigned) && !errors.Is(err, hop.ErrUnmatchedResponses)
+	return result == incomplete && ctx.Err() == nil && !errors.Is(err, errUnsigned) &&
+		!errors.Is(err, hop.ErrUnmatchedResponses) && !errors.Is(err, syscall.ETIMEDOUT)
 }
