Take engines that crash together for one event

Cause: reports of 112 crashes by 58 routers take 0.3 s to arrive and be read at a slow router, so that one event counted up to ten times, each 30 ms. And a rare part that was in progress at one of many engines, five times, counted five times, though whatever crashed the others crashed that one too. Change: crashes count once in 4 ms for each engine that crashed within half a second, 30 ms at least; at a verdict, a crash does not count if more than three times as many engines crashed around it as had a run with the part. Conclusion: the class is evidence that is counted as independent and is not; the tests had at most 30 engines and reports without delay.

--- a/router/internal/quarantine/judge.go
+++ b/router/internal/quarantine/judge.go
@@ -17,12 +17,14 @@
 	if renewed, ok := l.explainCrash(now, crash); ok {
 		return renewed
 	}
+	l.crashTimes.add(crash.Engine, now)
+	gap := max(crashGap, time.Duration(l.crashTimes.around(now))*crashGapStep)
 	var risen []*suspect
 	for _, run := range crash.Runs {
 		run.Parts = run.Parts[:min(len(run.Parts), MaxParts)]
 		for _, part := range run.Parts {
 			s := l.suspect(now, Key{Scope: run.Scope, Part: part})
-			if s.recordCrash(now, router, crash.Engine, run) {
+			if s.recordCrash(now, router, crash.Engine, run, gap) {
 				risen = append(risen, s)
 			}
 		}
@@ -92,7 +94,7 @@
 	var verdicts []Verdict
 	for _, s := range risen {
 		// An earlier verdict may have explained its crashes.
-		if s.score < verdictScore || len(s.requests) < minRequests || now.Sub(s.firstAt) < l.clearTime(now) || l.suspects[s.key] != s {
+		if s.score-l.massScore(s) < verdictScore || len(s.requests) < minRequests || now.Sub(s.firstAt) < l.clearTime(now) || l.suspects[s.key] != s {
 			continue
 		}
 		parts, ok := l.culprits(s)
@@ -119,6 +121,24 @@
 	return verdicts
 }
 
+// massScore returns the part of a suspect's score from engines that crashed together with
+// many others that had no run with the part. The caller holds l.mu.
+func (l *Ledger) massScore(s *suspect) int {
+	score := 0
+	for _, c := range s.crashes {
+		own := 0
+		for _, other := range s.crashes {
+			if other.at.Sub(c.at).Abs() <= massTime {
+				own++
+			}
+		}
+		if c.counted && l.crashTimes.around(c.at) > massRatio*own {
+			score += crashWeight
+		}
+	}
+	return score
+}
+
 // clearTime returns the least time from the first crash that a part is suspected of to a
 // verdict on it.
 func (l *Ledger) clearTime(now time.Time) time.Duration {
--- a/router/internal/quarantine/ledger.go
+++ b/router/internal/quarantine/ledger.go
@@ -37,6 +37,9 @@
 	// nothing about other parts.
 	explained map[uint64]time.Time
 
+	// crashTimes are when engines crashed.
+	crashTimes crashTimes
+
 	// credits are those of the parts that have started soundly at this router.
 	credits credits
 }
--- a/router/internal/quarantine/ledger_test.go
+++ b/router/internal/quarantine/ledger_test.go
@@ -325,3 +325,42 @@
 	g.Expect(restarted.refused(bad, rare)).To(gomega.BeTrue())
 	g.Expect(decoded.Saved).To(gomega.BeTrue())
 }
+
+// massCrash crashes engines at once, each with a request that has the parts. The reports
+// arrive within a time.
+func (h *history) massCrash(engines int, spread time.Duration, parts func(engine int) []uint64) (verdicts []quarantine.Verdict) {
+	for i := range engines {
+		h.now = h.now.Add(spread / time.Duration(engines))
+		verdicts = append(verdicts, h.crashNow(h.newRun(parts(i)...))...)
+	}
+	return verdicts
+}
+
+// Guards against a popular part that is kept out as many engines lose power at once and
+// their many reports take a while to arrive at a slow router.
+func TestLateReportsOfOneMassCrashCountOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHistory(nil)
+	h.crash(popular, other) // The part has been suspect for a while.
+	h.now = h.now.Add(time.Second)
+	verdicts := h.massCrash(112, 400*time.Millisecond, func(i int) []uint64 { return []uint64{popular, uint64(1000 + i)} })
+	g.Expect(verdicts).To(gomega.BeEmpty())
+}
+
+// Guards against a rare part that is kept out as it was in progress each time that many
+// engines crashed at once: whatever crashed the others crashed that one too.
+func TestMassCrashesSayNothingOfRareParts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHistory(nil)
+	for n := range 8 {
+		verdicts := h.massCrash(30, 20*time.Millisecond, func(i int) []uint64 {
+			if i == 7 {
+				return []uint64{rare}
+			}
+			return []uint64{uint64(1000 + 100*n + i)}
+		})
+		g.Expect(verdicts).To(gomega.BeEmpty())
+		h.now = h.now.Add(3 * time.Second)
+	}
+	g.Expect(h.refused(rare)).To(gomega.BeFalse())
+}
--- a/router/internal/quarantine/quarantine.go
+++ b/router/internal/quarantine/quarantine.go
@@ -44,9 +44,16 @@
 	// crashed. The copies of one request can't tell its parts apart.
 	minRequests = 2
 
-	// crashGap is the time in which several crashes count once. Engines that lose
-	// power together say no more about a prompt than one does.
-	crashGap = 30 * time.Millisecond
+	// Engines that lose power together say no more about a prompt than one does. So
+	// several crashes count once in crashGap, and in crashGapStep for each engine that
+	// crashed within massTime: the reports of many crashes take a while to arrive.
+	crashGap     = 30 * time.Millisecond
+	crashGapStep = 4 * time.Millisecond
+	massTime     = 500 * time.Millisecond
+
+	// massRatio is the number of engines that crashed at the same time for each one
+	// that had a run with a part, above which the part did not cause its crash either.
+	massRatio = 3
 
 	// clearTime is the least time from the first crash that a part is suspected of to a
 	// verdict on it. A popular part starts soundly somewhere in that time. A router that
@@ -87,6 +94,7 @@
 	maxSuspects        = 4096
 	maxVerdicts        = 1024
 	maxExplained       = 1024
+	maxCrashTimes      = 1024
 	maxSuspectCrashes  = 16
 	maxSuspectRequests = 8
 
--- a/router/internal/quarantine/suspect.go
+++ b/router/internal/quarantine/suspect.go
@@ -36,13 +36,14 @@
 // it was added to the score, and router names the router that saw it.
 type engineCrash struct {
 	engine  uint64
+	at      time.Time
 	counted bool
 	router  string
 }
 
 // recordCrash records that a run with the part was in progress at an engine that
-// crashed. It reports whether the score has risen.
-func (s *suspect) recordCrash(now time.Time, router string, engine uint64, run Run) bool {
+// crashed. Crashes within the gap count once. It reports whether the score has risen.
+func (s *suspect) recordCrash(now time.Time, router string, engine uint64, run Run, gap time.Duration) bool {
 	s.recordRequest(run)
 	if slices.ContainsFunc(s.crashes, func(c engineCrash) bool { return c.engine == engine }) {
 		return false
@@ -50,8 +51,8 @@
 	if len(s.crashes) == maxSuspectCrashes {
 		s.crashes = slices.Delete(s.crashes, 0, 1)
 	}
-	counted := s.countedAt.IsZero() || now.Sub(s.countedAt) >= crashGap
-	s.crashes = append(s.crashes, engineCrash{engine: engine, counted: counted, router: router})
+	counted := s.countedAt.IsZero() || now.Sub(s.countedAt) >= gap
+	s.crashes = append(s.crashes, engineCrash{engine: engine, at: now, counted: counted, router: router})
 	s.crashedAt = now
 	if counted {
 		s.score += crashWeight
