Test that a server that ended gets no further attempts

Cause: that the routers keep requests from a server whose connections broke and which refuses new ones was shown by the process tests only, and there by the absence of refusals. Conclusion: what one request finds out, the next need not find out again.

--- a/router/relay/quarantine_test.go
+++ b/router/relay/quarantine_test.go
@@ -94,6 +94,20 @@
 	g.Expect(r.callWithParts(t, 300, "c1", badPart).status).To(gomega.Equal(http.StatusBadGateway), "an operator lifted the verdict")
 }
 
+// Guards against requests that find out one after the other that a server has ended.
+func TestCrashedServerGetsNoFurtherAttempts(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	r, backends := startEngines(t, 2, newClass("a", relay.Stream, 1))
+	g.Expect(r.callWithParts(t, 1, "c0", badPart).status).To(gomega.Equal(http.StatusBadGateway))
+	g.Eventually(r.logged("backend server crashed", 1), noticeTime).Should(gomega.BeTrue())
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		g.Expect(r.callWithParts(t, 2, "c0", "c1").status).To(gomega.Equal(http.StatusOK))
+	}
+	g.Expect(r.metrics(t)).To(gomega.MatchRegexp(`counter service\.s\.unsent\s+count:\s+0\s`))
+	g.Expect(totalArrived(backends)).To(gomega.BeNumerically(">", 20))
+}
+
 // Guards against a stream without a length or chunks whose server ends before its first
 // event, and which its caller takes for complete and empty.
 func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
