Count the time in which a router learns from its first request

Cause: a router counted as knowing popular parts 10 s after its start, also if no request had come until then, and judged after 0.3 s instead of 1 s without knowing any. On the users' platform traffic starts 10 s after the machines. Change: the time counts from the first request that started soundly. Figures: TestRouterWithoutRequestsKnowsNoPopularParts failed before and passes. Conclusion: more crashes before a verdict in a storm right at the start of traffic, and no popular part kept out for it.

--- a/router/internal/quarantine/judge.go
+++ b/router/internal/quarantine/judge.go
@@ -142,7 +142,7 @@
 // clearTime returns the least time from the first crash that a part is suspected of to a
 // verdict on it.
 func (l *Ledger) clearTime(now time.Time) time.Duration {
-	if now.Sub(l.startedAt) < learnTime {
+	if l.learningSince.IsZero() || now.Sub(l.learningSince) < learnTime {
 		return newClearTime
 	}
 	return clearTime
--- a/router/internal/quarantine/ledger.go
+++ b/router/internal/quarantine/ledger.go
@@ -16,9 +16,6 @@
 	name   string
 	mayTry func(key Key) bool
 
-	// startedAt is when the ledger was created.
-	startedAt time.Time
-
 	// tracked is the number of suspects and verdicts. While it is zero, requests
 	// don't take the lock.
 	tracked atomic.Int64
@@ -40,8 +37,10 @@
 	// crashTimes are when engines crashed.
 	crashTimes crashTimes
 
-	// credits are those of the parts that have started soundly at this router.
-	credits credits
+	// credits are those of the parts that have started soundly at this router, and
+	// learningSince is when the first one did, or the zero time.
+	credits       credits
+	learningSince time.Time
 }
 
 // verdictKey identifies a verdict by its scope and its parts.
@@ -73,7 +72,7 @@
 		mayTry = func(Key) bool { return true }
 	}
 	return &Ledger{
-		name: name, mayTry: mayTry, startedAt: now, credits: newCredits(now),
+		name: name, mayTry: mayTry, credits: newCredits(now),
 		suspects: make(map[Key]*suspect), verdicts: make(map[verdictKey]*judgement),
 		inForce: make(map[Key][]*judgement), guilty: make(map[uint64]struct{}), explained: make(map[uint64]time.Time),
 	}
@@ -156,6 +155,9 @@
 func (l *Ledger) RecordStart(now time.Time, scope Scope, parts []uint64) (relevant []Key, lifted []Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.learningSince.IsZero() {
+		l.learningSince = now
+	}
 	for _, part := range parts {
 		key := Key{Scope: scope, Part: part}
 		l.credits.add(now, key)
--- a/router/internal/quarantine/ledger_test.go
+++ b/router/internal/quarantine/ledger_test.go
@@ -364,3 +364,16 @@
 	}
 	g.Expect(h.refused(rare)).To(gomega.BeFalse())
 }
+
+// Guards against a router that judges popular parts as if it knew them, although it has
+// had no requests since its start.
+func TestRouterWithoutRequestsKnowsNoPopularParts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHistory(nil)
+	for range 6 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		g.Expect(h.crashNow(h.newRun(popular))).To(gomega.BeEmpty(), "popular parts start soundly within a second")
+	}
+	h.now = h.now.Add(time.Second)
+	g.Expect(h.crashNow(h.newRun(popular))).To(gomega.HaveLen(1))
+}
--- a/router/internal/quarantine/quarantine.go
+++ b/router/internal/quarantine/quarantine.go
@@ -57,7 +57,7 @@
 
 	// clearTime is the least time from the first crash that a part is suspected of to a
 	// verdict on it. A popular part starts soundly somewhere in that time. A router that
-	// has been running for less than learnTime knows little of popular parts and waits
+	// has had requests for less than learnTime knows little of popular parts and waits
 	// for newClearTime.
 	clearTime    = 300 * time.Millisecond
 	newClearTime = time.Second
