Log the limits that servers name and the attempts sent there

Change: the adapter decodes the header once, with malformed values told apart; a line when a server begins to name a limit, at most once a second while it does, and when it ends, with the attempts sent meanwhile, first ones and others; a counter. Conclusion: no decision depends on it yet.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -121,6 +121,7 @@
 		return p.handleSendError(ctx, reservation, target, err)
 	}
 	defer response.Close()
+	p.relay.observeLimit(target, response.Status, p.relay.options.codec.ParseResponse(response.Status, response.Header).Limit)
 	target.usage.answering.Add(1)
 	defer target.usage.answering.Add(-1)
 	result, err := p.relayResponse(response, reservation, watch)
@@ -219,6 +220,7 @@
 				return errQuarantined
 			}
 			p.sendDelay = time.Since(p.chosenAt)
+			p.countLimited(target)
 			return nil
 		},
 		Matches: func(header http.Header) bool {
--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -113,6 +113,21 @@
 
 	// Signed says that the response carries a backend server's signature.
 	Signed bool
+
+	// Limit is the rate of requests that the server asks for, if it names one.
+	Limit ServerLimit
+}
+
+// ServerLimit is the largest rate at which a backend server wants to get requests
+// from all routers together. It holds for as long as the server's responses name it.
+type ServerLimit struct {
+	// Named says that the response names a limit. PerSecond is its value, finite and
+	// not negative.
+	Named     bool
+	PerSecond float64
+
+	// Malformed is the start of a value that is no limit, or empty.
+	Malformed string
 }
 
 // Codec converts between headers and the metadata types of this package. The
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -26,7 +26,8 @@
 	// that a server made no progress for longer than a healthy one takes, crashes
 	// the servers that ended while attempts were in progress there, quarantined the
 	// requests that a verdict on a part of their prompts refused, and stale the requests that were refused for lack of a current plan. firstByte
-	// is the time to the first byte of a response, in milliseconds.
+	// is the time to the first byte of a response, in milliseconds. limited counts the
+	// attempts sent to servers that name a limit.
 	requests    metrics.Counter
 	served      metrics.Counter
 	refused     metrics.Counter
@@ -37,6 +38,7 @@
 	silent      metrics.Counter
 	crashes     metrics.Counter
 	quarantined metrics.Counter
+	limited     metrics.Counter
 	stale       metrics.Counter
 	firstByte   metrics.Histogram
 
@@ -87,6 +89,7 @@
 		silent:      metrics.GetOrRegisterCounter("attempts.silent", registry),
 		quarantined: metrics.GetOrRegisterCounter("requests.quarantined", registry),
 		crashes:     metrics.GetOrRegisterCounter("servers.crashed", registry),
+		limited:     metrics.GetOrRegisterCounter("attempts.limited", registry),
 		stale:       metrics.GetOrRegisterCounter("keys.stale", registry),
 		firstByte: metrics.GetOrRegisterHistogram("answers.first", registry,
 			metrics.NewUniformSample(histogramSamples)),
@@ -232,6 +235,14 @@
 	}
 }
 
+// countLimited counts an attempt that is sent to a server which names a limit.
+func (p *proxiedRequest) countLimited(target *backendServer) {
+	first := len(p.tried) == 1 && p.executions == 0 && p.rejections == 0
+	if target.usage.limit.recordAttempt(first) {
+		p.relay.metrics.limited.Inc(1)
+	}
+}
+
 // countRetry counts a retry, or one that the budget denied.
 func (p *proxiedRequest) countRetry(allowed bool) {
 	s := p.relay.metrics.service(p.service)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -122,10 +122,12 @@
 }
 
 // serverUsage counts the attempts in progress at a server: those without a
-// response yet, and those whose response has begun.
+// response yet, and those whose response has begun. limit is the limit that it named.
 type serverUsage struct {
 	unanswered atomic.Int64
 	answering  atomic.Int64
+
+	limit limitUsage
 }
 
 // newRelay returns a relay without a plan and servers.
