Choose the home of an engine and of a prompt part by the same code

Cause: the load directory and the quarantine each had a rendezvous hash over the live routers; limits of servers need the same. Change: package home. Conclusion: homes of prompt parts move once, when a router with this version replaces an older one; they are a matter of cost there.

--- a/router/internal/loadreport/directory.go
+++ b/router/internal/loadreport/directory.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"snipetally.example/router/internal/datagram"
+	"snipetally.example/router/internal/home"
 	"snipetally.example/router/internal/placement"
 )
 
@@ -171,31 +169,14 @@
 	return homes
 }
 
-// home returns the home of an engine: the live router with the highest
-// rendezvous score.
+// home returns the home of an engine.
 func (d *Directory) home(now time.Time, server uint32) netip.AddrPort {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now.Sub(d.membersAt) > membersTTL {
 		d.members, d.membersAt = d.config.Members(now), now
 	}
-	home, highest := d.config.Address, homeScore(d.config.Address, server)
-	for _, member := range d.members {
-		if score := homeScore(member, server); score > highest {
-			home, highest = member, score
-		}
-	}
-	return home
-}
-
-// homeScore returns the score of a router as the home of an engine.
-func homeScore(router netip.AddrPort, server uint32) uint64 {
-	var key [22]byte
-	b := binary.BigEndian.AppendUint32(key[:0], server)
-	address := router.Addr().As16()
-	b = append(b, address[:]...)
-	b = binary.BigEndian.AppendUint16(b, router.Port())
-	return xxhash.Sum64(b)
+	return home.Of(uint64(server), d.config.Address, d.members)
 }
 
 // send sends a message.
--- a/router/internal/quarantine/exchange.go
+++ b/router/internal/quarantine/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"snipetally.example/router/internal/datagram"
+	"snipetally.example/router/internal/home"
 )
 
 const (
@@ -106,7 +107,7 @@
 
 // isHome reports whether this router saves and tries the verdicts on a part.
 func (e *Exchange) isHome(now time.Time, key Key) bool {
-	return home(key, e.config.Address, e.config.Members(now)) == e.config.Address
+	return home.Of(key.hash(), e.config.Address, e.config.Members(now)) == e.config.Address
 }
 
 // Run receives and sends messages until the context ends.
