Keep to the limits that servers name, with permits of one router for each

Callers saw servers in need that got their usual load: 41 requests in 4 s where 31 were allowed. Cause: no router read the limit, and none could keep to it alone: it is for all together. The class: what a server says of its own need is passed on and not heeded. Change: package sharedrate. A response that names a limit, or no longer does, is known at once at the router that got it and within half a second at all. Requests for such a server need a permit of the rate's home, one of the routers, asked for when the server is chosen and checked when the request is written, on every path that sends. A server without permits is withheld; others are chosen; if there are none, the caller is asked to come back when there is room, each at another time. Permits run out after 0.2 s by a clock that counts suspensions; a new home gives a third until all know it; each side of a partition its part. Ruled out: a split of the limit among the routers (a calculation: 43 requests in 4 s at 400 routers and a limit of 1, 11 allowed).

--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -257,6 +257,13 @@
 	return b.mostLive + 1, b.mostLiveSince
 }
 
+// LiveTime returns how long after its last report a router counts as alive.
+func (b *Broadcaster) LiveTime() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.liveTime()
+}
+
 // liveTime returns how long after its last report a router counts as alive. The
 // caller holds b.mu.
 func (b *Broadcaster) liveTime() time.Duration {
--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -209,6 +209,9 @@
 	ExpectedLatency time.Duration
 	ExcessWait      time.Duration
 
+	// LimitWait is the time until a server may be asked for again, if all are withheld.
+	LimitWait time.Duration
+
 	// PrefillSpeed is the estimated speed of the service in tokens a second;
 	// ShortServers is the number of servers that are reserved for short
 	// prompts.
@@ -220,6 +223,9 @@
 	// ErrNoServer means that there is no server left to try.
 	ErrNoServer = errors.ConstError("no server")
 
+	// ErrLimited means that the servers left to try are withheld to keep their limits.
+	ErrLimited = errors.ConstError("servers limited")
+
 	// ErrBusy means that the request would wait too long at the best server.
 	ErrBusy = errors.ConstError("servers busy")
 )
@@ -241,9 +247,9 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	svc := b.service(req.Service)
-	candidates := svc.candidates(now, tried)
+	candidates := svc.candidates(now, &req, tried)
 	if len(candidates) == 0 {
-		return nil, Choice{}, ErrNoServer
+		return svc.pickNone(now, &req, tried)
 	}
 	var best Choice
 	var chosen *server
@@ -263,12 +269,12 @@
 
 // candidates returns the members that may get a request. Suspended ones are
 // used only if there are no others.
-func (s *service) candidates(now time.Time, tried []string) []*server {
+func (s *service) candidates(now time.Time, req *Request, tried []string) []*server {
 	free := make([]*server, 0, len(s.members))
 	var suspended []*server
 	for _, m := range s.members {
 		switch {
-		case slices.Contains(tried, m.ID):
+		case slices.Contains(tried, m.ID), m.withholds(now, req):
 		case now.Before(m.suspendedUntil):
 			suspended = append(suspended, m)
 		default:
@@ -312,7 +318,7 @@
 		r.class.running++
 		r.reservedTokens = req.cacheTokens(cached)
 		s.reservedTokens += r.reservedTokens
-		b.recordUse(now, req, svc, s)
+		r.use, r.cached = b.recordUse(now, req, svc, s), cached
 		svc.tokenRate.add(now, float64(r.reservedTokens))
 		svc.recordDemand(now, req, cached)
 	} else {
--- a/router/internal/placement/directory.go
+++ b/router/internal/placement/directory.go
@@ -55,6 +55,16 @@
 	d.sessions[use.Session] = append(holders, holder{server: use.Server, used: now})
 }
 
+// forget takes back a use.
+func (d *sessionDirectory) forget(use SessionUse) {
+	holders := slices.DeleteFunc(d.sessions[use.Session], func(h holder) bool { return h.server == use.Server })
+	if len(holders) == 0 {
+		delete(d.sessions, use.Session)
+		return
+	}
+	d.sessions[use.Session] = holders
+}
+
 // evict drops the sessions that were unused for longer than maxRetention, or an
 // arbitrary one if there are none, so that another one can be added.
 func (d *sessionDirectory) evict(now time.Time) {
@@ -110,16 +120,17 @@
 	req.tokenRate = (svc.tokenRate.current(now) + svc.peerTokenRate) / float64(max(len(svc.members), 1))
 }
 
-// recordUse records that the request was placed on a server. The caller holds
-// b.mu.
-func (b *Balancer) recordUse(now time.Time, req *Request, svc *service, s *server) {
+// recordUse records that the request was placed on a server, and returns the use of its
+// session if it has one. The caller holds b.mu.
+func (b *Balancer) recordUse(now time.Time, req *Request, svc *service, s *server) SessionUse {
 	if len(req.Parts) > 1 {
 		svc.partUsage.record(now, req.Parts[0].ID)
 	}
 	if req.sessionHash == 0 {
-		return
+		return SessionUse{}
 	}
 	use := SessionUse{Session: shortHash(req.sessionHash), Server: shortHash(s.hash)}
 	b.sessions.record(now, use)
 	b.newUses = append(b.newUses, use)
+	return use
 }
--- a/router/internal/placement/load.go
+++ b/router/internal/placement/load.go
@@ -8,7 +8,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	svc := b.service(req.Service)
-	candidates := svc.candidates(now, tried)
+	candidates := svc.candidates(now, &req, tried)
 	if len(candidates) == 0 || !candidates[0].Engine {
 		return nil
 	}
--- a/router/internal/placement/request.go
+++ b/router/internal/placement/request.go
@@ -45,6 +45,10 @@
 	// with lower numbers first; 0 is the first.
 	Priority int
 
+	// Level is the request's precedence at a server whose limit has to be kept, from 0 to
+	// 1; 0 is the first. See Balancer.Withhold.
+	Level float64
+
 	// Admitted says that the request was admitted before and may have run, so that
 	// it is never refused.
 	Admitted bool
--- a/router/internal/placement/reservation.go
+++ b/router/internal/placement/reservation.go
@@ -36,6 +36,11 @@
 	// process up to the end of this prompt when the server was chosen.
 	queuedTokens   int
 	firstEventSeen bool
+
+	// use is the use of the request's session, or zero, and cached says that the server
+	// was expected to have the session cached.
+	use    SessionUse
+	cached bool
 }
 
 // engineOverhead is the time to the first event on top of waiting and prefill,
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -89,6 +89,11 @@
 	// until when it is slow after its start.
 	suspendedUntil time.Time
 	warmingUntil   time.Time
+
+	// withheldUntil is until when requests of withheldLevel and later ones are kept from
+	// the server.
+	withheldUntil time.Time
+	withheldLevel float64
 }
 
 // newServer returns the initial estimates of a server.
--- /dev/null
+++ b/router/internal/sharedrate/exchange.go
@@ -0,0 +1,386 @@
+package sharedrate
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+
+	"snipetally.example/coordination/feed"
+	"snipetally.example/router/internal/datagram"
+)
+
+const (
+	// tickInterval is the interval at which the membership view is refreshed, and at which
+	// a router asks for the statements of others as long as it has none.
+	tickInterval = 200 * time.Millisecond
+
+	// pruneInterval is the interval at which what is no longer used is dropped, and
+	// bucketTTL how long a bucket is kept that nobody asks for.
+	pruneInterval = 10 * time.Second
+	bucketTTL     = time.Minute
+
+	// What several routers hear at the same time is announced after a random delay, and
+	// not at all by those that another router has told by then. The delay grows with the
+	// number of routers, from announceDelay, by announceDelayStep for each.
+	announceDelay     = 10 * time.Millisecond
+	announceDelayStep = 500 * time.Microsecond
+
+	// maxStatementsPerMessage is the number of statements in a message.
+	maxStatementsPerMessage = 64
+
+	// maxSyncTime is how long a router waits for the statements of others after its start,
+	// and commonStartTime how long if it hears only from others that have none either.
+	maxSyncTime     = 1500 * time.Millisecond
+	commonStartTime = 3 * tickInterval
+
+	// minValueChange is the relative change of a limit from which on the home is told.
+	minValueChange = 0.01
+)
+
+// Config configures an exchange.
+type Config struct {
+	// Address is the address to listen on, or invalid if Run is not called; the router is
+	// then the only one. Members returns the addresses of the exchanges of the other
+	// routers that are alive, and Seeds are the addresses of some that may be.
+	Address netip.AddrPort
+	Members func(now time.Time) []netip.AddrPort
+	Seeds   []netip.AddrPort
+
+	// Clock must not stop while the VM is suspended.
+	Clock feed.Clock
+
+	// SettleTime returns how long routers may disagree about which are alive.
+	SettleTime func() time.Duration
+
+	// OnChange is told when another router, the teller, says that a limit began or ended.
+	// It must not block.
+	OnChange func(key Key, statement Statement, teller netip.AddrPort)
+
+	// ReportError is called with failures. It must not block.
+	ReportError func(error)
+
+	// Listen opens the socket. If it is nil, it is a UDP socket at Address.
+	Listen func(ctx context.Context, address netip.AddrPort) (net.PacketConn, error)
+}
+
+// Exchange gives permits and shares statements with the other routers. Its methods are
+// safe for concurrent use.
+type Exchange struct {
+	config Config
+
+	// synced says that the statements of another router were received, or that there is
+	// none to wait for. heardUnsynced says that another router answered that it has none
+	// either. startedAt is the time on the clock at which the exchange was created.
+	synced        atomic.Bool
+	heardUnsynced atomic.Bool
+	startedAt     time.Duration
+
+	// limited is the number of limits in force. Without any, nothing else is looked at
+	// on a request's path.
+	limited atomic.Int64
+
+	// mu guards the fields below. It is a leaf: no function of the configuration is called
+	// while it is held. conn is nil until Run has opened it.
+	mu         sync.Mutex
+	conn       net.PacketConn
+	statements statements
+	view       *view
+	buckets    map[Key]*bucket
+
+	// pending are the changes to be announced to all. announcing says that an
+	// announcement is due.
+	pending    map[Key]struct{}
+	announcing bool
+
+	// questions are the questions that wait for a home's answer, by their numbers;
+	// lastQuestion is the number of the last one. silentUntil is until when homes that did
+	// not answer are not asked.
+	questions    map[uint32]*question
+	lastQuestion uint32
+	silentUntil  map[netip.AddrPort]time.Duration
+}
+
+// NewExchange returns an exchange that knows no limits. It opens no socket before Run.
+func NewExchange(config Config) *Exchange {
+	now := config.Clock()
+	// Until it hears otherwise, a router takes the seeds for alive on the other side of a
+	// partition.
+	seeds := make(map[netip.AddrPort]struct{})
+	for _, seed := range append(slices.Clone(config.Seeds), config.Address) {
+		seeds[seed] = struct{}{}
+	}
+	e := &Exchange{
+		config:      config,
+		startedAt:   now,
+		statements:  make(statements),
+		view:        newView(config.Address, now, len(seeds)),
+		buckets:     make(map[Key]*bucket),
+		pending:     make(map[Key]struct{}),
+		questions:   make(map[uint32]*question),
+		silentUntil: make(map[netip.AddrPort]time.Duration),
+	}
+	e.synced.Store(!config.Address.IsValid())
+	return e
+}
+
+// Run receives and sends messages until the context ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	listen := e.config.Listen
+	if listen == nil {
+		listen = datagram.Listen
+	}
+	conn, err := listen(ctx, e.config.Address)
+	if err != nil {
+		return fmt.Errorf("share rates: %w", err)
+	}
+	e.mu.Lock()
+	e.conn = conn
+	e.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	group.Add(func() error { return datagram.ReceiveAll(ctx, conn, e.receive, e.config.ReportError) }, func(error) { cancel() })
+	group.Add(func() error { return e.tickLoop(ctx) }, func(error) { cancel() })
+	if err := group.Run(); err != nil {
+		return fmt.Errorf("share rates: %w", err)
+	}
+	return nil
+}
+
+// tickLoop refreshes the view and drops what is no longer used until the context ends.
+func (e *Exchange) tickLoop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	pruneAt := e.config.Clock() + pruneInterval
+	for {
+		now := e.refresh()
+		if !e.Synced() {
+			e.askForStatements(now)
+		}
+		if now >= pruneAt {
+			pruneAt = now + pruneInterval
+			e.prune(now)
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("refresh routers: %w", ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
+// refresh brings the membership view up to date, unless it is, and returns the time on the
+// clock.
+func (e *Exchange) refresh() time.Duration {
+	now, settle := e.config.Clock(), e.config.SettleTime()
+	e.mu.Lock()
+	fresh := now-e.view.refreshedAt < tickInterval/2
+	e.mu.Unlock()
+	if fresh {
+		return now
+	}
+	members := e.config.Members(time.Now())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.view.refresh(now, members, settle)
+	return now
+}
+
+// prune drops what is no longer used.
+func (e *Exchange) prune(now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.statements.dropExpired(now)
+	e.countLimited()
+	maps.DeleteFunc(e.buckets, func(_ Key, b *bucket) bool { return now-b.updatedAt > bucketTTL })
+	maps.DeleteFunc(e.silentUntil, func(_ netip.AddrPort, until time.Duration) bool { return now > until })
+}
+
+// countLimited counts the limits in force. The caller holds e.mu.
+func (e *Exchange) countLimited() {
+	n := int64(0)
+	for _, s := range e.statements {
+		if s.Limited {
+			n++
+		}
+	}
+	e.limited.Store(n)
+}
+
+// Synced reports whether the router knows the limits that were named before its start, or
+// has waited for them long enough.
+func (e *Exchange) Synced() bool { return e.synced.Load() }
+
+// askForStatements asks other routers for all their statements.
+func (e *Exchange) askForStatements(now time.Duration) {
+	age := now - e.startedAt
+	if age > maxSyncTime || e.heardUnsynced.Load() && age > commonStartTime {
+		e.synced.Store(true)
+		return
+	}
+	e.mu.Lock()
+	others := slices.Clone(e.view.members())
+	e.mu.Unlock()
+	e.sendAll(message{Sync: syncAsk}, append(others, e.config.Seeds...))
+}
+
+// answerSync sends all statements to a router, and the number of routers that it should
+// reckon with.
+func (e *Exchange) answerSync(to netip.AddrPort) {
+	e.mu.Lock()
+	now, most := e.config.Clock(), e.view.most
+	all := make([]keyedStatement, 0, len(e.statements))
+	for key, s := range e.statements {
+		if s.Limited {
+			all = append(all, keyedStatement{Key: key, Statement: s})
+		}
+	}
+	e.mu.Unlock()
+	for chunk := range slices.Chunk(all, maxStatementsPerMessage) {
+		e.sendAll(message{sentAt: now, Statements: chunk}, []netip.AddrPort{to})
+	}
+	e.sendAll(message{Sync: syncAnswer, Routers: most}, []netip.AddrPort{to})
+}
+
+// Observe records what a response says of a rate. If it names no limit, that holds from
+// the time on the clock at which its request was sent: a server that named one since then
+// may have written the response before.
+func (e *Exchange) Observe(key Key, limited bool, perSecond float64, sentAt time.Duration) {
+	if !limited && e.limited.Load() == 0 {
+		return
+	}
+	now := e.config.Clock()
+	next := Statement{Limited: limited, PerSecond: perSecond, At: now}
+	if !limited {
+		next.At = sentAt
+	}
+	e.mu.Lock()
+	known := e.statements[key]
+	changed := e.statements.apply(key, next)
+	home := e.view.home(key)
+	if changed {
+		e.countLimited()
+		e.announceLater(key)
+	}
+	e.mu.Unlock()
+	difference := max(perSecond-known.PerSecond, known.PerSecond-perSecond)
+	if limited && (changed || difference > minValueChange*known.PerSecond) {
+		e.sendAll(message{sentAt: now, Statements: []keyedStatement{{Key: key, Statement: next}}}, []netip.AddrPort{home})
+	}
+}
+
+// announceLater announces a change to all routers soon. The caller holds e.mu.
+func (e *Exchange) announceLater(key Key) {
+	e.pending[key] = struct{}{}
+	if e.announcing {
+		return
+	}
+	e.announcing = true
+	longest := announceDelay + time.Duration(len(e.view.members()))*announceDelayStep
+	time.AfterFunc(time.Duration(rand.Int64N(int64(longest))), e.announce)
+}
+
+// announce sends the changes that no other router has announced meanwhile.
+func (e *Exchange) announce() {
+	e.mu.Lock()
+	now := e.config.Clock()
+	var changes []keyedStatement
+	for key := range e.pending {
+		changes = append(changes, keyedStatement{Key: key, Statement: e.statements[key]})
+	}
+	clear(e.pending)
+	e.announcing = false
+	others := slices.Clone(e.view.members())
+	e.mu.Unlock()
+	for chunk := range slices.Chunk(changes, maxStatementsPerMessage) {
+		e.sendAll(message{sentAt: now, Statements: chunk}, others)
+	}
+}
+
+// receive handles a message of another router.
+func (e *Exchange) receive(sender netip.AddrPort, data []byte) error {
+	now := e.config.Clock()
+	m, err := decode(now, data)
+	if err != nil {
+		return err
+	}
+	e.hear(m.Statements, sender)
+	switch {
+	case m.Ask.Number != 0:
+		e.answer(sender, m.Ask)
+	case m.Answer.Number != 0:
+		e.recordAnswer(sender, m.Answer)
+	}
+	switch m.Sync {
+	case syncAsk:
+		if !e.Synced() {
+			e.sendAll(message{Sync: syncNothing}, []netip.AddrPort{sender})
+			break
+		}
+		e.answerSync(sender)
+	case syncNothing:
+		e.heardUnsynced.Store(true)
+	case syncAnswer:
+		e.mu.Lock()
+		e.view.countRouters(now, m.Routers)
+		e.mu.Unlock()
+		e.synced.Store(true)
+	}
+	return nil
+}
+
+// hear takes over statements of another router.
+func (e *Exchange) hear(heard []keyedStatement, teller netip.AddrPort) {
+	if len(heard) == 0 {
+		return
+	}
+	var changes []keyedStatement
+	e.mu.Lock()
+	for _, s := range heard {
+		if e.statements.apply(s.Key, s.Statement) {
+			changes = append(changes, s)
+		}
+		if e.statements[s.Key].Limited == s.Limited {
+			delete(e.pending, s.Key)
+		}
+	}
+	if len(changes) > 0 {
+		e.countLimited()
+	}
+	e.mu.Unlock()
+	for _, c := range changes {
+		e.config.OnChange(c.Key, c.Statement, teller)
+	}
+}
+
+// sendAll sends a message to routers.
+func (e *Exchange) sendAll(m message, routers []netip.AddrPort) {
+	e.mu.Lock()
+	conn := e.conn
+	e.mu.Unlock()
+	if conn == nil || len(routers) == 0 {
+		return // Not running yet, or alone.
+	}
+	data, err := encode(m)
+	if err != nil {
+		e.config.ReportError(err)
+		return
+	}
+	for _, router := range routers {
+		if router == e.config.Address {
+			continue
+		}
+		if _, err := conn.WriteTo(data, net.UDPAddrFromAddrPort(router)); err != nil {
+			e.config.ReportError(fmt.Errorf("send to %s: %w", router, err))
+		}
+	}
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -115,13 +115,13 @@
 		defer target.pool.Close()
 	}
 	target.usage.unanswered.Add(1)
-	response, err := target.pool.Send(ctx, p.hopRequest(at, target))
+	response, err := target.pool.Send(ctx, p.hopRequest(ctx, at, target))
 	target.usage.unanswered.Add(-1)
 	if err != nil {
 		return p.handleSendError(ctx, reservation, target, err)
 	}
 	defer response.Close()
-	p.relay.observeLimit(target, response.Status, p.relay.options.codec.ParseResponse(response.Status, response.Header).Limit)
+	p.observeLimit(target, response)
 	target.usage.answering.Add(1)
 	defer target.usage.answering.Add(-1)
 	result, err := p.relayResponse(response, reservation, watch)
@@ -179,7 +179,7 @@
 		target.pool.CloseIdle() // Other kept connections may be silent as well.
 	}
 	switch {
-	case canceled, errors.Is(err, errServerLeaving), errors.Is(err, errQuarantined):
+	case canceled, errors.Is(err, errServerLeaving), errors.Is(err, errQuarantined), errors.Is(err, placement.ErrLimited):
 		reservation.Done(time.Now(), placement.Canceled)
 	case !maybeSent:
 		reservation.Done(time.Now(), placement.Unreachable)
@@ -195,7 +195,7 @@
 }
 
 // hopRequest builds the request for a server.
-func (p *proxiedRequest) hopRequest(at *place, target *backendServer) hop.Request {
+func (p *proxiedRequest) hopRequest(ctx context.Context, at *place, target *backendServer) hop.Request {
 	header := p.relay.options.codec.ForwardHeader(endToEnd(p.request.Header), ForwardInfo{
 		InstanceID:  target.ID,
 		Timeout:     time.Until(p.deadline),
@@ -219,7 +219,10 @@
 			if p.isQuarantined(true) {
 				return errQuarantined
 			}
-			p.sendDelay = time.Since(p.chosenAt)
+			if !p.mayUse(ctx, at, target) {
+				return placement.ErrLimited
+			}
+			p.sendDelay, p.sentAt = time.Since(p.chosenAt), p.relay.options.clock()
 			p.countLimited(target)
 			return nil
 		},
--- a/router/relay/fakes_test.go
+++ b/router/relay/fakes_test.go
@@ -27,6 +27,7 @@
 	lastEventHeader   = "Last-Event-Id"
 	kvCopyHeader      = "Kv-Copy"
 	partsHeader       = "Parts"
+	limitHeader       = "Limit"
 )
 
 // codec maps the headers above.
@@ -64,9 +65,11 @@
 }
 
 func (codec) ParseResponse(status int, h http.Header) relay.ResponseInfo {
+	rate, err := strconv.ParseFloat(h.Get(limitHeader), 64)
 	return relay.ResponseInfo{
 		AttemptID: h.Get(attemptHeader), Signed: h.Get(signedHeader) != "",
 		NotExecuted: h.Get(notExecutedHeader) != "" || status == http.StatusMisdirectedRequest,
+		Limit:       relay.ServerLimit{Named: err == nil, PerSecond: rate},
 	}
 }
 
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -1,101 +1,210 @@
 package relay
 
 import (
+	"context"
+	"math"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
+	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/hop"
+	"snipetally.example/router/internal/placement"
+	"snipetally.example/router/internal/sharedrate"
 )
 
-// limitLogInterval is the least time between two lines about the limit of one server.
-const limitLogInterval = time.Second
-
-// limitUsage records the limit that a server last named to this router, and the
-// attempts that were sent there since. Its methods are safe for concurrent use.
-type limitUsage struct {
-	// mu guards the fields below. limit is what the last response named, and since
-	// when it began to name one.
-	mu    sync.Mutex
-	limit ServerLimit
-	since time.Time
-
-	// first and further count the attempts since the last line: the first ones of
-	// their requests, and all others.
-	first   int
-	further int
-
-	// loggedAt is when the last line was written, and malformedLogged says that one
-	// was written about a malformed limit.
-	loggedAt        time.Time
-	malformedLogged bool
+const (
+	// maxPermitQuestions is the number of servers for which a request asks for a permit
+	// before it counts as one that finds none.
+	maxPermitQuestions = 4
+
+	// permitWaitFraction is the fraction of its target latency that a request which has
+	// not run waits for a permit. After that its caller is asked to retry. One that may
+	// have run waits for up to retryWait, as giving it up loses it.
+	permitWaitFraction = 1.0 / 8
+
+	// maxLimitDelay bounds the time after which a caller is asked to retry that found all
+	// servers limited.
+	maxLimitDelay = 10 * time.Second
+
+	// sessionLevel is the part of a request's level that depends on its session: requests
+	// go before others to a server that has their session cached. The rest is their rank.
+	sessionLevel = 0.5
+)
+
+// useLimits creates the exchange of the limits that servers name.
+func (n *Node) useLimits() {
+	n.limits = sharedrate.NewExchange(sharedrate.Config{
+		Address: n.config.LimitAddress,
+		Members: func(now time.Time) []netip.AddrPort {
+			if !n.config.LimitAddress.IsValid() {
+				return nil
+			}
+			return withPort(n.broadcaster.Live(now), n.config.LimitAddress.Port())
+		},
+		Seeds: withPort(append([]netip.AddrPort(nil), n.config.PeerSeeds...), n.config.LimitAddress.Port()),
+		Clock: n.config.Clock,
+		// A router takes as long to find out that another one has ended, and that one as long
+		// to find out that it is alone.
+		SettleTime: func() time.Duration { return 2 * n.broadcaster.LiveTime() },
+		OnChange:   n.relay.logHeardLimit,
+		ReportError: func(err error) {
+			n.log.RepeatedFailure(time.Now(), "limits", err).Msg("server limit not exchanged")
+		},
+	})
+	n.relay.limits = n.limits
+}
+
+// rankLevel returns the part of a request's level that its rank determines.
+func rankLevel(rank, ranks int) float64 {
+	return (1 - sessionLevel) * float64(rank) / float64(max(ranks-1, 1))
+}
+
+// limitLevel returns the level of a request at a server.
+func (p *proxiedRequest) limitLevel(cached bool) sharedrate.Level {
+	level := p.placementRequest.Level
+	if len(p.placementRequest.Parts) > 1 && !cached {
+		level += sessionLevel
+	}
+	return sharedrate.Level(level)
+}
+
+// pick reserves a place at a server that was not tried, with a permit if the server names a
+// limit. It reads only fields of the request that don't change during an attempt. If the
+// error is placement.ErrLimited, the choice has the time to wait for a permit.
+func (p *proxiedRequest) pick(ctx context.Context, request placement.Request, tried []string) (*place, placement.Choice, error) {
+	for range maxPermitQuestions {
+		reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, tried)
+		if err != nil {
+			return nil, choice, err
+		}
+		next := p.newPlace(reservation, choice)
+		target, ok := p.target(next)
+		if !ok || p.acquire(ctx, next, target, p.limitLevel(choice.Cached)) {
+			return next, choice, nil
+		}
+		reservation.Withdraw(time.Now())
+	}
+	return nil, placement.Choice{LimitWait: shortRetryDelay}, placement.ErrLimited
 }
 
-// recordAttempt counts an attempt that is sent, if the server names a limit, and
-// reports whether it does.
-func (u *limitUsage) recordAttempt(first bool) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.limit.Named {
-		return false
+// acquire gets a permit for a place. If there is none, requests of that level are kept
+// from the server for a while.
+func (p *proxiedRequest) acquire(ctx context.Context, at *place, target *backendServer, level sharedrate.Level) bool {
+	permit, denial, ok := p.relay.limits.Acquire(ctx, target.usage.key, level)
+	if ok {
+		at.permit = permit
+		return true
 	}
-	if first {
-		u.first++
+	if denial.Unreachable {
+		p.relay.metrics.unanswered.Inc(1)
 	} else {
-		u.further++
+		p.relay.metrics.keptBack.Inc(1)
 	}
-	return true
+	target.usage.limit.recordDenial()
+	p.relay.balancer.Withhold(target.ID, time.Now().Add(denial.Wait), float64(denial.Level))
+	return false
 }
 
-// observe records what a response names. It returns a function that adds what changed
-// to a line, or nil if there is nothing to log.
-func (u *limitUsage) observe(now time.Time, limit ServerLimit) (message string, fields func(*zerolog.Event)) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	last := u.limit
-	u.limit = limit
-	if limit.Named && !last.Named {
-		u.since = now
+// mayUse reports whether the request may be written to a server now. A permit may have run
+// out since the server was chosen, or the server may have named its limit only then. A
+// request that may have run, or whose KV cache was copied there, waits for a permit.
+func (p *proxiedRequest) mayUse(ctx context.Context, at *place, target *backendServer) bool {
+	if p.relay.limits.Usable(target.usage.key, at.permit) {
+		return true
 	}
-	switch {
-	case limit.Malformed != "" && !u.malformedLogged:
-		u.malformedLogged = true
-		return "malformed server limit ignored", func(e *zerolog.Event) { e.Str("value", limit.Malformed) }
-	case now.Sub(u.loggedAt) < limitLogInterval || !limit.Named && !last.Named:
-		return "", nil
+	waitEnd := time.Now()
+	if p.executions > 0 || at.kvCopy.Handle != "" {
+		waitEnd = waitEnd.Add(retryWait)
 	}
-	age, first, further := now.Sub(u.since), u.first, u.further
-	u.loggedAt, u.first, u.further = now, 0, 0
-	return limitMessage(last.Named, limit.Named), func(e *zerolog.Event) {
-		e.Float64("limit", limit.PerSecond).Dur("named", age).Int("first", first).Int("further", further)
+	for !p.acquire(ctx, at, target, p.limitLevel(at.choice.Cached)) {
+		if ctx.Err() != nil || time.Now().Add(retryPollInterval).After(waitEnd) {
+			return false
+		}
+		sleep(ctx, retryPollInterval)
 	}
+	return true
 }
 
-// limitMessage returns the message of a line about a limit.
-func limitMessage(before, now bool) string {
-	switch {
-	case !before:
-		return "server limit named"
-	case !now:
-		return "server limit ended"
+// awaitPermit waits for a place at a server whose limit is used up, as long as that is
+// better for the caller than to come back. wait is the time until the first one may have
+// a permit again.
+func (p *proxiedRequest) awaitPermit(ctx context.Context, request placement.Request, wait time.Duration) (*place, placement.Choice, error) {
+	limit := time.Duration(permitWaitFraction * float64(request.Target))
+	tried := p.tried
+	if request.Admitted {
+		limit, tried = retryWait, nil
+	}
+	waitEnd := time.Now().Add(min(limit, time.Until(p.deadline)-minAttemptTime))
+	for {
+		if ctx.Err() != nil || time.Now().Add(wait).After(waitEnd) {
+			return nil, placement.Choice{LimitWait: wait}, placement.ErrLimited
+		}
+		sleep(ctx, max(wait, time.Millisecond))
+		next, choice, err := p.pick(ctx, request, tried)
+		if !errors.Is(err, placement.ErrLimited) {
+			return next, choice, err
+		}
+		wait = choice.LimitWait
 	}
-	return "server limit in force"
 }
 
-// observeLimit records the limit that a response names. The response of another server
-// at the same address says nothing about this one. In the line, limit holds the
-// requests a second, named the time since the server began to name limits, and first
-// and further the attempts that this router sent since the last line: the first ones
-// of their requests, and all others.
-func (r *relay) observeLimit(target *backendServer, status int, limit ServerLimit) {
-	if status == http.StatusMisdirectedRequest {
+// observeLimit records what a response says of the limit of its server. The response of
+// another server at the same address says nothing about this one.
+func (p *proxiedRequest) observeLimit(target *backendServer, response *hop.Response) {
+	info := p.relay.options.codec.ParseResponse(response.Status, response.Header)
+	if response.Status == http.StatusMisdirectedRequest || info.AttemptID != p.info.AttemptID {
 		return
 	}
-	message, fields := target.usage.limit.observe(time.Now(), limit)
-	if message == "" {
-		return
+	p.relay.limits.Observe(target.usage.key, info.Limit.Named, info.Limit.PerSecond, p.sentAt)
+	p.relay.logNamedLimit(target, info.Limit)
+}
+
+// refusalPace spreads the times after which callers are asked to retry that found all
+// servers of a service limited, so that they don't all come back at the same moment.
+type refusalPace struct {
+	// mu guards next, the time at which the next caller of each service may come back.
+	mu   sync.Mutex
+	next map[string]time.Time
+}
+
+// newRefusalPace returns a pace without refusals.
+func newRefusalPace() *refusalPace { return &refusalPace{next: make(map[string]time.Time)} }
+
+// take returns when a caller may come back, at the earliest after a wait. Others of the
+// service follow each an interval later.
+func (r *refusalPace) take(now time.Time, service string, wait, interval time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.next[service]
+	if earliest := now.Add(wait); at.Before(earliest) {
+		at = earliest
+	}
+	if latest := now.Add(maxLimitDelay); at.After(latest) {
+		at = latest
+	}
+	r.next[service] = at.Add(interval)
+	return at.Sub(now)
+}
+
+// paceRefusal returns how much later a caller is asked to retry that found all servers of a
+// service limited: when there is room after those that were refused before, if each
+// router has an equal part of the limits.
+func (r *relay) paceRefusal(service string, wait time.Duration) time.Duration {
+	sum := 0.0
+	for _, s := range *r.servers.Load() {
+		if s.Service != service || s.Draining {
+			continue
+		}
+		if limit, ok := r.limits.Limit(s.usage.key); ok {
+			sum += limit.PerSecond
+		}
+	}
+	interval := maxLimitDelay
+	if seconds := float64(r.limits.Routers()) / sum; !math.IsInf(seconds, 0) && seconds < maxLimitDelay.Seconds() {
+		interval = time.Duration(seconds * float64(time.Second))
 	}
-	event := r.options.log.StateChange().Str("server", target.ID).Str("service", target.Service)
-	fields(event)
-	event.Msg(message)
+	return r.limitRefusals.take(time.Now(), service, max(wait, shortRetryDelay), interval)
 }
--- /dev/null
+++ b/router/relay/limits_test.go
@@ -0,0 +1,109 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"snipetally.example/router/relay"
+)
+
+// limited answers like another handler and names a limit.
+func limited(limit string, handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set(limitHeader, limit)
+		handler(w, req)
+	}
+}
+
+// limitPlan is a plan with idempotent requests whose target latency is short.
+func limitPlan() relay.Plan {
+	class := newClass("r", relay.Idempotent, 3)
+	class.TargetLatency = 80 * time.Millisecond
+	return relay.Plan{Version: 1, Classes: []relay.Class{class}, Services: []relay.Service{{Name: "s"}}}
+}
+
+// Guards against requests beyond the limit that a server names, first ones and repeats,
+// and against callers that suffer by it while another server has room.
+func TestRequestsGoToOtherServersThanALimitedOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, backends := startNode(t, limitPlan(), limited("1", respond("a")), respond("b"))
+	start := time.Now()
+	var calls sync.WaitGroup
+	for range 4 {
+		calls.Go(func() {
+			for range 50 {
+				reply := r.call(t, http.MethodGet, "/r/x", "")
+				g.Expect(reply.status).To(gomega.Equal(http.StatusOK))
+			}
+		})
+	}
+	calls.Wait()
+	// The first response names the limit. Until it is known, each caller may send one.
+	allowed := 4 + 2 + time.Since(start).Seconds()
+	g.Expect(float64(backends[0].arrived.Load())).To(gomega.BeNumerically("<=", allowed))
+	g.Expect(backends[1].arrived.Load()).To(gomega.BeNumerically(">", 150))
+}
+
+// Guards against a limit that is hidden from the caller.
+func TestTheLimitOfAServerGoesThroughToTheCaller(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, _ := startNode(t, limitPlan(), limited("7", respond("a")))
+	g.Expect(r.call(t, http.MethodGet, "/r/x", "").header.Get(limitHeader)).To(gomega.Equal("7"))
+}
+
+// Guards against callers that come back all at the same moment, or are told that a request
+// was not run that was, when all servers name limits.
+func TestARequestThatFindsAllServersLimitedIsRefusedWithItsOwnRetryAfter(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, backends := startNode(t, limitPlan(), limited("1", respond("a")), limited("1", respond("b")))
+	served, refused := 0, 0
+	delays := make(map[string]bool)
+	last := 0.0
+	for range 10 {
+		reply := r.call(t, http.MethodGet, "/r/x", "")
+		if reply.status == http.StatusOK {
+			served++
+			continue
+		}
+		refused++
+		g.Expect(reply.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		delay, err := strconv.ParseFloat(reply.header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(delay).To(gomega.BeNumerically(">", last))
+		last = delay
+		delays[reply.header.Get("Retry-After")] = true
+	}
+	g.Expect(refused).To(gomega.BeNumerically(">=", 5))
+	g.Expect(delays).To(gomega.HaveLen(refused))
+	g.Expect(backends[0].arrived.Load() + backends[1].arrived.Load()).To(gomega.BeEquivalentTo(served))
+}
+
+// Guards against a limit that is kept after the server has stopped to name it.
+func TestALimitThatIsNoLongerNamedEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mu sync.Mutex
+	limit := "0"
+	r, backends := startNode(t, limitPlan(), func(w http.ResponseWriter, req *http.Request) {
+		mu.Lock()
+		if limit != "" {
+			w.Header().Set(limitHeader, limit)
+		}
+		mu.Unlock()
+		respond("a")(w, req)
+	})
+	g.Expect(r.call(t, http.MethodGet, "/r/x", "").status).To(gomega.Equal(http.StatusOK))
+	g.Expect(r.call(t, http.MethodGet, "/r/x", "").status).To(gomega.Equal(http.StatusServiceUnavailable))
+	mu.Lock()
+	limit = ""
+	mu.Unlock()
+	r.waitUntil(t, func() bool { return r.call(t, http.MethodGet, "/r/x", "").status == http.StatusOK })
+	for range 5 {
+		g.Expect(r.call(t, http.MethodGet, "/r/x", "").status).To(gomega.Equal(http.StatusOK))
+	}
+	g.Expect(backends[0].arrived.Load()).To(gomega.BeEquivalentTo(7))
+}
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -27,7 +27,9 @@
 	// the servers that ended while attempts were in progress there, quarantined the
 	// requests that a verdict on a part of their prompts refused, and stale the requests that were refused for lack of a current plan. firstByte
 	// is the time to the first byte of a response, in milliseconds. limited counts the
-	// attempts sent to servers that name a limit.
+	// attempts sent to servers that name a limit, unpermitted the choices that found no
+	// server with a permit left, keptBack the permits that were denied, and unanswered
+	// those for which no home answered.
 	requests    metrics.Counter
 	served      metrics.Counter
 	refused     metrics.Counter
@@ -39,6 +41,9 @@
 	crashes     metrics.Counter
 	quarantined metrics.Counter
 	limited     metrics.Counter
+	unpermitted metrics.Counter
+	keptBack    metrics.Counter
+	unanswered  metrics.Counter
 	stale       metrics.Counter
 	firstByte   metrics.Histogram
 
@@ -90,6 +95,9 @@
 		quarantined: metrics.GetOrRegisterCounter("requests.quarantined", registry),
 		crashes:     metrics.GetOrRegisterCounter("servers.crashed", registry),
 		limited:     metrics.GetOrRegisterCounter("attempts.limited", registry),
+		unpermitted: metrics.GetOrRegisterCounter("requests.limited", registry),
+		keptBack:    metrics.GetOrRegisterCounter("permits.denied", registry),
+		unanswered:  metrics.GetOrRegisterCounter("permits.unanswered", registry),
 		stale:       metrics.GetOrRegisterCounter("keys.stale", registry),
 		firstByte: metrics.GetOrRegisterHistogram("answers.first", registry,
 			metrics.NewUniformSample(histogramSamples)),
@@ -237,10 +245,12 @@
 
 // countLimited counts an attempt that is sent to a server which names a limit.
 func (p *proxiedRequest) countLimited(target *backendServer) {
-	first := len(p.tried) == 1 && p.executions == 0 && p.rejections == 0
-	if target.usage.limit.recordAttempt(first) {
-		p.relay.metrics.limited.Inc(1)
+	if !p.relay.limits.Limited(target.usage.key) {
+		return
 	}
+	first := len(p.tried) == 1 && p.executions == 0 && p.rejections == 0
+	target.usage.limit.recordAttempt(first)
+	p.relay.metrics.limited.Inc(1)
 }
 
 // countRetry counts a retry, or one that the budget denied.
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -140,11 +140,11 @@
 // takes a retry from the budget once the server is found.
 func (p *proxiedRequest) migrate(ctx context.Context, server Server) migrationResult {
 	r := p.relay
-	reservation, choice, err := r.balancer.Pick(time.Now(), p.placementRequest, []string{server.ID})
+	next, choice, err := p.pick(ctx, p.placementRequest, []string{server.ID})
 	if err != nil {
 		return migrationResult{place: &place{}, err: fmt.Errorf("%w: %w", errNotMigrated, err)}
 	}
-	migration := migrationResult{place: p.newPlace(reservation, choice)}
+	migration, reservation := migrationResult{place: next}, next.reservation
 	target, ok := (*r.servers.Load())[choice.Server]
 	if !ok {
 		reservation.Done(time.Now(), placement.Canceled)
--- a/router/relay/migration_return.go
+++ b/router/relay/migration_return.go
@@ -31,7 +31,7 @@
 // backendServer returns the server with a pool of its own, as it is no longer
 // among those that accept requests.
 func (s *leavingServer) backendServer() *backendServer {
-	return &backendServer{Server: s.Server, pool: hop.NewPool(s.Address), usage: &serverUsage{}}
+	return &backendServer{Server: s.Server, pool: hop.NewPool(s.Address), usage: newServerUsage(s.Server)}
 }
 
 // placeAtSource returns a place at the server where a run stopped for its
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -16,6 +16,7 @@
 	"snipetally.example/router/internal/decision"
 	"snipetally.example/router/internal/loadreport"
 	"snipetally.example/router/internal/quarantine"
+	"snipetally.example/router/internal/sharedrate"
 )
 
 // Config configures a node.
@@ -50,6 +51,11 @@
 	QuarantineAddress netip.AddrPort
 	Quarantine        RowStore
 
+	// LimitAddress is where other routers ask for permits to send requests to servers that
+	// name a limit; if it is not valid, this router keeps to the limits by itself. All
+	// routers use the same port.
+	LimitAddress netip.AddrPort
+
 	// SettingsErrors are faults in the settings with which the node can still
 	// run. They are logged at the start.
 	SettingsErrors []error
@@ -114,6 +120,7 @@
 	servers     *feed.Follower[Server]
 	broadcaster *loadreport.Broadcaster
 	quarantine  *quarantine.Exchange
+	limits      *sharedrate.Exchange
 
 	// callers is set by Run.
 	callers *callerListener
@@ -155,6 +162,7 @@
 	})
 	n.useBroadcaster()
 	n.useQuarantine()
+	n.useLimits()
 	if config.PeerAddress.IsValid() && config.DirectoryAddress.IsValid() {
 		n.useDirectory()
 	}
@@ -187,6 +195,9 @@
 	if n.config.QuarantineAddress.IsValid() {
 		group.Add(func() error { return n.quarantine.Run(ctx) }, func(error) { cancel() })
 	}
+	if n.config.LimitAddress.IsValid() {
+		group.Add(func() error { return n.limits.Run(ctx) }, func(error) { cancel() })
+	}
 	if n.directory != nil {
 		group.Add(func() error { return n.directory.Run(ctx) }, func(error) { cancel() })
 	}
--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"snipetally.example/router/internal/placement"
+	"snipetally.example/router/internal/sharedrate"
 )
 
 // place is what an attempt needs at a server: capacity that is reserved there,
@@ -17,6 +18,9 @@
 	// listAge is the age of the list of servers when the server was chosen.
 	listAge time.Duration
 
+	// permit allows to send the request to the server, if that names a limit.
+	permit sharedrate.Permit
+
 	// retryTakenAt is when a speculative retry was taken from the budget for it.
 	retryTakenAt time.Time
 
@@ -49,12 +53,11 @@
 		return nil
 	}
 	p.askLoads(ctx, tried)
-	reservation, choice, err := r.balancer.Pick(time.Now(), p.placementRequest, tried)
+	next, choice, err := p.pick(ctx, p.placementRequest, tried)
 	if err != nil {
 		r.retryBudget.ReturnSpeculative(now, p.service)
 		return nil
 	}
-	next := p.newPlace(reservation, choice)
 	next.retryTakenAt = now
 	if !p.hasRoom(choice) || time.Until(p.deadline) < max(choice.ExpectedLatency, minAttemptTime) {
 		p.releasePlace(next)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -24,6 +24,7 @@
 	"snipetally.example/router/internal/placement"
 	"snipetally.example/router/internal/quarantine"
 	"snipetally.example/router/internal/retrybudget"
+	"snipetally.example/router/internal/sharedrate"
 )
 
 // options configure a relay.
@@ -85,6 +86,11 @@
 	// quarantine is set before the relay serves requests.
 	quarantine *quarantine.Exchange
 
+	// limits keeps the limits that servers name. It is set before the relay serves
+	// requests.
+	limits        *sharedrate.Exchange
+	limitRefusals *refusalPace
+
 	index    atomic.Pointer[planIndex]
 	servers  atomic.Pointer[map[string]*backendServer]
 	inflight atomic.Int64
@@ -124,12 +130,20 @@
 // serverUsage counts the attempts in progress at a server: those without a
 // response yet, and those whose response has begun. limit is the limit that it named.
 type serverUsage struct {
+	// key names the limit of this lifetime of the server.
+	key sharedrate.Key
+
 	unanswered atomic.Int64
 	answering  atomic.Int64
 
 	limit limitUsage
 }
 
+// newServerUsage returns the usage of a lifetime of a server.
+func newServerUsage(s Server) *serverUsage {
+	return &serverUsage{key: sharedrate.Key(s.engineHash())}
+}
+
 // newRelay returns a relay without a plan and servers.
 func newRelay(options options) *relay {
 	r := &relay{
@@ -140,6 +154,8 @@
 		metrics:     newRequestMetrics(options.metrics),
 		departures:  newDepartures(),
 		crashes:     newCrashDetector(),
+
+		limitRefusals: newRefusalPace(),
 	}
 	r.servers.Store(&map[string]*backendServer{})
 	r.setBounds(options.bounds)
@@ -181,7 +197,7 @@
 	for id, s := range servers {
 		b, ok := old[id]
 		if !ok || !b.sameLifetime(s) {
-			b = &backendServer{pool: hop.NewPool(s.Address), usage: &serverUsage{}}
+			b = &backendServer{pool: hop.NewPool(s.Address), usage: newServerUsage(s)}
 		}
 		next[id] = &backendServer{Server: s, pool: b.pool, usage: b.usage}
 		r.handleServerUpdate(old[id], s)
@@ -289,7 +305,7 @@
 
 // ready reports whether callers should be sent to this router.
 func (r *relay) ready() bool {
-	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.disconnected() && r.quarantineSynced()
+	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.disconnected() && r.quarantineSynced() && r.limits.Synced()
 }
 
 // ServeHTTP implements http.Handler.
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -91,6 +91,9 @@
 	// the server, or zero if none was written.
 	sendDelay time.Duration
 
+	// sentAt is the time on the clock at which the last attempt was written to its server.
+	sentAt time.Duration
+
 	// headWritten says that the head of a response was sent to the caller.
 	// lastEventID is the ID of the last event that the caller has.
 	headWritten bool
@@ -329,6 +332,7 @@
 		Gap:          p.class.TargetGap,
 		Draw:         rand.Uint64(),
 		Priority:     p.rank,
+		Level:        rankLevel(p.rank, len(p.index.ranks)),
 	}
 	if p.info.ExpectedOutputTokens > 0 {
 		p.placementRequest.OutputTokens = p.info.ExpectedOutputTokens
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -184,18 +184,22 @@
 	request := p.placementRequest
 	request.Admitted = p.executions > 0
 	p.askLoads(ctx, p.tried)
-	reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, p.tried)
+	next, choice, err := p.pick(ctx, request, p.tried)
 	if p.executions > 0 && errors.Is(err, placement.ErrNoServer) {
 		sleep(ctx, retriedServerDelay)
-		reservation, choice, err = p.relay.balancer.Pick(time.Now(), request, nil)
+		next, choice, err = p.pick(ctx, request, nil)
 	}
-	if err != nil {
-		if errors.Is(err, placement.ErrBusy) {
-			p.choice, p.retryAfter = choice, max(choice.ExcessWait, shortRetryDelay)
-		}
-		return nil, err
+	if errors.Is(err, placement.ErrLimited) {
+		next, choice, err = p.awaitPermit(ctx, request, choice.LimitWait)
+	}
+	switch {
+	case errors.Is(err, placement.ErrBusy):
+		p.choice, p.retryAfter = choice, max(choice.ExcessWait, shortRetryDelay)
+	case errors.Is(err, placement.ErrLimited):
+		p.retryAfter = p.relay.paceRefusal(p.service, choice.LimitWait)
+		p.relay.metrics.unpermitted.Inc(1)
 	}
-	return p.newPlace(reservation, choice), nil
+	return next, err
 }
 
 // askLoads updates the loads of the engines that are considered for the request
