Ask for permits together where requests are frequent, and show limits

Cause: a permit for each request costs 75 bytes each way, so that a server that names a high limit took 15.8 KB/s of the 9 KB/s that a router may spend on control (a limit of 150, 240 requests a second at one router, in virtual time). Change: a router that has sent several requests in the last 0.1 s asks for as many permits, at most those of 0.1 s of the limit, and remembers a denial for as long as it holds. The state dump has the limits, their age and home; a gauge counts them.

--- a/router/internal/sharedrate/ask.go
+++ b/router/internal/sharedrate/ask.go
@@ -29,6 +29,16 @@
 	return s, s.Limited
 }
 
+// Count returns the number of limits in force.
+func (e *Exchange) Count() int64 { return e.limited.Load() }
+
+// Home returns the address of the router that gives the permits for a rate.
+func (e *Exchange) Home(key Key) netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.view.home(key)
+}
+
 // Routers returns the number of routers that are alive, with this one.
 func (e *Exchange) Routers() int {
 	e.mu.Lock()
@@ -49,24 +59,69 @@
 	if !ok {
 		return Permit{}, Denial{}, true
 	}
-	askedAt := e.refresh()
-	given := e.askHome(ctx, askedAt, key, known, level)
+	now := e.refresh()
+	permit, denial, want := e.takeSpare(now, key, level)
+	if want == 0 {
+		return permit, denial, denial == Denial{}
+	}
+	given := e.askHome(ctx, now, ask{Key: key, Statement: known, Level: level, Want: want})
+	denial = denialOf(given)
+	permit = Permit{expires: now + permitTime}
+	e.keep(key, given.Permits, want, permit, denial)
+	return permit, denial, denial == Denial{}
+}
+
+// denialOf returns the denial in an answer, or the zero value if it is none.
+func denialOf(given answer) Denial {
 	switch {
 	case given.Unreachable:
-		return Permit{}, Denial{Wait: silenceTime, Unreachable: true}, false
-	case given.Permitted || !given.Statement.Limited:
-		return Permit{expires: askedAt + permitTime}, Denial{}, true
+		return Denial{Wait: silenceTime, Unreachable: true}
+	case given.Permits > 0 || !given.Statement.Limited:
+		return Denial{}
+	}
+	return Denial{Wait: max(given.Wait, time.Millisecond), Level: given.Level}
+}
+
+// takeSpare takes a spare permit or returns the denial that still holds. If there is
+// neither, it returns the number of permits to ask for.
+func (e *Exchange) takeSpare(now time.Duration, key Key, level Level) (spare Permit, denial Denial, want int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.wanted[key]
+	if w == nil {
+		w = &wanted{}
+		e.wanted[key] = w
+	}
+	w.record(now)
+	if w.take(now) {
+		return Permit{expires: w.expires}, Denial{}, 0
+	}
+	if denial, denied := w.denied(now, level); denied {
+		return Permit{}, denial, 0
+	}
+	return Permit{}, Denial{}, w.permitsToAsk()
+}
+
+// keep remembers a denial, and the permits of an answer but the first for the next
+// requests.
+func (e *Exchange) keep(key Key, permits, asked int, permit Permit, denial Denial) {
+	now := e.config.Clock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.wanted[key]
+	if w == nil {
+		return // Dropped, as nobody asked for long.
 	}
-	return Permit{}, Denial{Wait: given.Wait, Level: given.Level}, false
+	w.receive(now, permits, asked, permit.expires, denial)
 }
 
 // askHome has the home of a rate decide.
-func (e *Exchange) askHome(ctx context.Context, now time.Duration, key Key, known Statement, level Level) answer {
+func (e *Exchange) askHome(ctx context.Context, now time.Duration, asked ask) answer {
 	e.mu.Lock()
-	home := e.view.home(key)
+	home := e.view.home(asked.Key)
 	if home == e.config.Address {
 		e.mu.Unlock()
-		return e.decide(key, level, known)
+		return e.decide(asked)
 	}
 	if now < e.silentUntil[home] || e.conn == nil {
 		e.mu.Unlock()
@@ -80,7 +135,8 @@
 	e.questions[number] = q
 	e.mu.Unlock()
 	defer e.removeQuestion(number)
-	e.sendAll(message{sentAt: now, Ask: ask{Number: number, Key: key, Statement: known, Level: level}}, []netip.AddrPort{home})
+	asked.Number = number
+	e.sendAll(message{sentAt: now, Ask: asked}, []netip.AddrPort{home})
 	return e.await(ctx, q)
 }
 
@@ -111,31 +167,31 @@
 // answer answers the question of another router.
 func (e *Exchange) answer(sender netip.AddrPort, asked ask) {
 	e.hear([]keyedStatement{{Key: asked.Key, Statement: asked.Statement}}, sender)
-	given := e.decide(asked.Key, asked.Level, asked.Statement)
+	given := e.decide(asked)
 	given.Number, given.Key = asked.Number, asked.Key
 	e.sendAll(message{sentAt: e.config.Clock(), Answer: given}, []netip.AddrPort{sender})
 }
 
-// decide gives a permit or not, as the home of a rate, to a router that knows the asked
-// statement. A router that is not the home by its own view gives none.
-func (e *Exchange) decide(key Key, level Level, asked Statement) answer {
+// decide gives permits or not, as the home of a rate. A router that is not the home by its
+// own view gives none.
+func (e *Exchange) decide(asked ask) answer {
 	now, settle := e.refresh(), e.config.SettleTime()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s, known := e.statements[key]
+	s, known := e.statements[asked.Key]
 	switch {
 	case known && !s.Limited:
 		return answer{Statement: s}
-	case !known || !e.Synced() || e.view.home(key) != e.config.Address:
-		return answer{Statement: asked, Wait: maxWait}
+	case !known || !e.Synced() || e.view.home(asked.Key) != e.config.Address:
+		return answer{Statement: asked.Statement, Wait: maxWait}
 	}
-	b := e.buckets[key]
+	b := e.buckets[asked.Key]
 	if b == nil {
 		b = newBucket(now)
-		e.buckets[key] = b
+		e.buckets[asked.Key] = b
 	}
-	wait, ok := b.take(now, s.PerSecond*e.view.share(now, key, settle), level, s.At)
-	given := answer{Statement: s, Permitted: ok, Wait: wait, Level: level}
+	permits, wait := b.take(now, s.PerSecond*e.view.share(now, asked.Key, settle), asked.Level, asked.Want, s.At)
+	given := answer{Statement: s, Permits: permits, Wait: wait, Level: asked.Level}
 	if b.tokens >= 1 {
 		return given
 	}
--- a/router/internal/sharedrate/bucket.go
+++ b/router/internal/sharedrate/bucket.go
@@ -38,9 +38,10 @@
 // newBucket returns an empty bucket.
 func newBucket(now time.Duration) *bucket { return &bucket{updatedAt: now, permittedAt: now} }
 
-// take takes a token at a rate per second. confirmedAt is when the limit was last known to
-// hold. If there is no token, it returns how long the level has to wait for one.
-func (b *bucket) take(now time.Duration, perSecond float64, level Level, confirmedAt time.Duration) (wait time.Duration, ok bool) {
+// take takes a token at a rate per second, or up to want of them, and returns their number.
+// confirmedAt is when the limit was last known to hold. If there is no token, it returns
+// how long the level has to wait for one.
+func (b *bucket) take(now time.Duration, perSecond float64, level Level, want int, confirmedAt time.Duration) (permits int, wait time.Duration) {
 	b.fill(now, perSecond)
 	needed := 1 + float64(level)*(minBurst-1)
 	if b.waiting && b.passedOver >= maxPassedOver {
@@ -49,16 +50,25 @@
 	trialAt := max(b.permittedAt, confirmedAt) + trialInterval
 	switch {
 	case b.tokens >= needed:
-		b.tokens--
+		permits = 1 + b.batch(perSecond, needed, want)
+		b.tokens -= float64(permits)
 		b.countPermit(level)
 	case now >= trialAt:
+		permits = 1
 		b.tokens = max(b.tokens-1, 0)
 	default:
 		b.waiting = b.waiting || b.tokens >= 1
-		return min(timeFor(needed-b.tokens, perSecond), trialAt-now), false
+		return 0, min(timeFor(needed-b.tokens, perSecond), trialAt-now)
 	}
 	b.permittedAt = now
-	return 0, true
+	return permits, 0
+}
+
+// batch returns the number of tokens that may be taken beside the first one: at most those
+// of burstTime.
+func (b *bucket) batch(perSecond, needed float64, want int) int {
+	most := min(perSecond*burstTime.Seconds(), b.tokens-needed, float64(want-1))
+	return max(int(most), 0)
 }
 
 // countPermit keeps account of the levels that were passed over.
--- a/router/internal/sharedrate/codec.go
+++ b/router/internal/sharedrate/codec.go
@@ -21,6 +21,9 @@
 	Key       Key
 	Statement Statement
 	Level     Level
+
+	// Want is the number of permits that the asker needs, one at least.
+	Want int
 }
 
 // answer answers a question, with the statement that the home knows.
@@ -28,7 +31,9 @@
 	Number    uint32
 	Key       Key
 	Statement Statement
-	Permitted bool
+
+	// Permits is the number of permits that are given, at most those that were asked for.
+	Permits int
 
 	// Wait and Level are those of a denial. Unreachable says that there is no answer; it
 	// is not sent.
@@ -88,6 +93,7 @@
 	Number    uint32
 	Statement wireStatement
 	Level     uint8
+	Want      int
 }
 
 // wireAnswer is the wire format of an answer. The wait is in microseconds.
@@ -95,7 +101,7 @@
 	_         struct{} `cbor:",toarray"`
 	Number    uint32
 	Statement wireStatement
-	Permitted bool
+	Permits   int
 	WaitUS    int64
 	Level     uint8
 }
@@ -112,12 +118,13 @@
 	if m.Ask.Number != 0 {
 		w.Ask = &wireAsk{
 			Number: m.Ask.Number, Statement: encodeStatement(m.sentAt, m.Ask.Key, m.Ask.Statement), Level: encodeLevel(m.Ask.Level),
+			Want: m.Ask.Want,
 		}
 	}
 	if m.Answer.Number != 0 {
 		w.Answer = &wireAnswer{
 			Number: m.Answer.Number, Statement: encodeStatement(m.sentAt, m.Answer.Key, m.Answer.Statement),
-			Permitted: m.Answer.Permitted, WaitUS: m.Answer.Wait.Microseconds(), Level: encodeLevel(m.Answer.Level),
+			Permits: m.Answer.Permits, WaitUS: m.Answer.Wait.Microseconds(), Level: encodeLevel(m.Answer.Level),
 		}
 	}
 	data, err := cbor.Marshal(w)
@@ -147,7 +154,9 @@
 		if err != nil {
 			return message{}, err
 		}
-		m.Ask = ask{Number: w.Ask.Number, Key: Key(w.Ask.Statement.Key), Statement: statement, Level: decodeLevel(w.Ask.Level)}
+		m.Ask = ask{
+			Number: w.Ask.Number, Key: Key(w.Ask.Statement.Key), Statement: statement, Level: decodeLevel(w.Ask.Level), Want: w.Ask.Want,
+		}
 	}
 	if w.Answer != nil {
 		statement, err := decodeStatement(now, w.Answer.Statement)
@@ -155,7 +164,7 @@
 			return message{}, err
 		}
 		m.Answer = answer{
-			Number: w.Answer.Number, Key: Key(w.Answer.Statement.Key), Statement: statement, Permitted: w.Answer.Permitted,
+			Number: w.Answer.Number, Key: Key(w.Answer.Statement.Key), Statement: statement, Permits: w.Answer.Permits,
 			Wait: time.Duration(w.Answer.WaitUS) * time.Microsecond, Level: decodeLevel(w.Answer.Level),
 		}
 	}
--- a/router/internal/sharedrate/exchange.go
+++ b/router/internal/sharedrate/exchange.go
@@ -95,6 +95,7 @@
 	statements statements
 	view       *view
 	buckets    map[Key]*bucket
+	wanted     map[Key]*wanted
 
 	// pending are the changes to be announced to all. announcing says that an
 	// announcement is due.
@@ -124,6 +125,7 @@
 		statements:  make(statements),
 		view:        newView(config.Address, now, len(seeds)),
 		buckets:     make(map[Key]*bucket),
+		wanted:      make(map[Key]*wanted),
 		pending:     make(map[Key]struct{}),
 		questions:   make(map[uint32]*question),
 		silentUntil: make(map[netip.AddrPort]time.Duration),
@@ -202,6 +204,7 @@
 	e.statements.dropExpired(now)
 	e.countLimited()
 	maps.DeleteFunc(e.buckets, func(_ Key, b *bucket) bool { return now-b.updatedAt > bucketTTL })
+	maps.DeleteFunc(e.wanted, func(_ Key, w *wanted) bool { return now-w.from > bucketTTL && !w.asking })
 	maps.DeleteFunc(e.silentUntil, func(_ netip.AddrPort, until time.Duration) bool { return now > until })
 }
 
--- a/router/internal/sharedrate/fleet_test.go
+++ b/router/internal/sharedrate/fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,16 +68,23 @@
 	number  int
 	address netip.AddrPort
 
+	// sent is the number of bytes sent, with the headers of datagrams.
+	sent atomic.Int64
+
 	// mu guards the fields below. resumed is closed while the router is not suspended, and
 	// suspensions counts the suspensions that overlap.
 	mu          sync.Mutex
 	resumed     chan struct{}
 	suspensions int
-	exchange    *sharedrate.Exchange
-	conn        *fakeConn
-	kill        context.CancelFunc
+
+	exchange *sharedrate.Exchange
+	conn     *fakeConn
+	kill     context.CancelFunc
 }
 
+// udpHeader is the size of the headers of a datagram, in bytes.
+const udpHeader = 28
+
 // limitedServer names a limit and records what it gets.
 type limitedServer struct {
 	// mu guards the fields below.
@@ -464,6 +472,7 @@
 func (c *fakeConn) WriteTo(b []byte, to net.Addr) (int, error) {
 	<-c.router.whenRunning()
 	f := c.router.fleet
+	c.router.sent.Add(int64(len(b) + udpHeader))
 	target := f.router(to.(*net.UDPAddr).AddrPort())
 	if target == nil || f.float() < f.loss {
 		return len(b), nil
--- a/router/internal/sharedrate/scenario_test.go
+++ b/router/internal/sharedrate/scenario_test.go
@@ -162,6 +162,37 @@
 	})
 }
 
+// Guards against messages of a broken router that end this one or make up limits.
+func TestMalformedMessagesAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 1, fleetConfig{routers: 3, delay: time.Millisecond, perSecond: 50})
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		for i := range 2000 {
+			data := make([]byte, 1+i%60)
+			for n := range data {
+				data[n] = byte(f.float() * 256)
+			}
+			f.routers[0].deliver(1, datagram{from: f.routers[1].address, data: data})
+			time.Sleep(time.Millisecond)
+		}
+		for _, text := range []string{
+			"\x85\x81\x84\x05\xf5\xfb\x7f\xf8\x00\x00\x00\x00\x00\x00\x00\xf6\xf6\x00\x00", // NaN
+			"\x85\x81\x84\x05\xf5\xfb\xbf\xf0\x00\x00\x00\x00\x00\x00\x00\xf6\xf6\x00\x00", // -1
+			"\x85\x81\x84\x05\xf5\xfb\x3f\xf0\x00\x00\x00\x00\x00\x00\x20\xf6\xf6\x00\x00", // in the future
+		} {
+			f.routers[0].deliver(1, datagram{from: f.routers[1].address, data: []byte(text)})
+		}
+		time.Sleep(time.Second)
+		g.Expect(f.limitKnown()).To(gomega.BeZero())
+		g.Expect(f.routers[0].process().Limited(5)).To(gomega.BeFalse())
+		f.server.name(3)
+		time.Sleep(time.Second)
+		g.Expect(f.limitKnown()).To(gomega.Equal(3))
+	})
+}
+
 // Guards against a new home that gives the whole of a limit while others may still ask the
 // one before.
 func TestANewHomeGivesAFractionUntilAllKnowIt(t *testing.T) {
--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -54,6 +54,8 @@
 	g := gomega.NewWithT(t)
 	r, _ := startNode(t, limitPlan(), limited("7", respond("a")))
 	g.Expect(r.call(t, http.MethodGet, "/r/x", "").header.Get(limitHeader)).To(gomega.Equal("7"))
+	g.Expect(r.stateDump(t)["Limits"]).To(gomega.ConsistOf(gomega.HaveKeyWithValue("PerSecond", 7.0)))
+	g.Expect(r.metrics(t)).To(gomega.ContainSubstring("limits.known"))
 }
 
 // Guards against callers that come back all at the same moment, or are told that a request
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -60,8 +60,8 @@
 // the plan and its age in milliseconds, both -1 without a plan, for how
 // many milliseconds a newer version has been known to exist, 0 if none is, the age of
 // the list of servers in milliseconds, -1 without one, the number of requests in
-// progress, that of log lines that were dropped, and those of the prompt parts that
-// crashes speak against and of the verdicts in force.
+// progress, that of log lines that were dropped, of the limits of servers in force, and those of
+// the prompt parts that crashes speak against and of the verdicts in force.
 func (n *Node) registerGauges() {
 	gauges := map[string]func() int64{
 		"plan.version":      n.relay.planVersion,
@@ -70,6 +70,7 @@
 		"servers.age":       func() int64 { return n.relay.serversAge().Milliseconds() },
 		"requests.inflight": n.relay.inProgress,
 		"log.lost":          n.log.DroppedLines,
+		"limits.known":      n.limits.Count,
 		"quarantine.suspects": func() int64 {
 			suspects, _ := n.quarantine.Ledger().Counts()
 			return int64(suspects)
@@ -117,6 +118,9 @@
 	ServersAge time.Duration
 	Servers    []placement.ServerState
 
+	// Limits are the limits that servers name.
+	Limits []limitState
+
 	// Quarantine holds the verdicts on prompt parts, and Suspects the parts that
 	// crashes speak against.
 	Quarantine []quarantine.VerdictState
@@ -141,6 +145,7 @@
 
 		Suspects: n.quarantine.Ledger().SuspectStates(),
 	}
+	s.Limits = n.relay.limitStates()
 	for _, v := range n.quarantine.Ledger().Verdicts() {
 		s.Quarantine = append(s.Quarantine, v.State())
 	}
