Let early levels ask again as soon as there is a token

Cause: a denial to a late level while the bucket was empty held for all levels, and for as long as the late level had to wait: until the bucket was full up to two tokens. Change: such a denial holds until there is one token.

--- a/router/internal/sharedrate/ask.go
+++ b/router/internal/sharedrate/ask.go
@@ -190,12 +190,13 @@
 		b = newBucket(now)
 		e.buckets[asked.Key] = b
 	}
-	permits, wait := b.take(now, s.PerSecond*e.view.share(now, asked.Key, settle), asked.Level, asked.Want, s.At)
-	given := answer{Statement: s, Permits: permits, Wait: wait, Level: asked.Level}
-	if b.tokens >= 1 {
-		return given
+	perSecond := s.PerSecond * e.view.share(now, asked.Key, settle)
+	given := answer{Statement: s, Level: asked.Level}
+	given.Permits, given.Wait = b.take(now, perSecond, asked.Level, asked.Want, s.At)
+	if given.Permits == 0 && b.tokens < 1 {
+		// No level can have a permit until there is a token.
+		given.Level, given.Wait = 0, min(given.Wait, timeFor(1-b.tokens, perSecond))
 	}
-	given.Level = 0 // There is no token for any level.
 	return given
 }
 
--- a/router/internal/sharedrate/exchange.go
+++ b/router/internal/sharedrate/exchange.go
@@ -183,14 +183,14 @@
 // refresh brings the membership view up to date, unless it is, and returns the time on the
 // clock.
 func (e *Exchange) refresh() time.Duration {
-	now, settle := e.config.Clock(), e.config.SettleTime()
+	now := e.config.Clock()
 	e.mu.Lock()
 	fresh := now-e.view.refreshedAt < tickInterval/2
 	e.mu.Unlock()
 	if fresh {
 		return now
 	}
-	members := e.config.Members(time.Now())
+	members, settle := e.config.Members(time.Now()), e.config.SettleTime()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.view.refresh(now, members, settle)
--- a/router/internal/sharedrate/scenario_test.go
+++ b/router/internal/sharedrate/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -162,6 +163,33 @@
 	})
 }
 
+// Guards against requests of little importance that take the permits of others, and against
+// such requests that never get one.
+func TestEarlyLevelsGoFirstAndNoneStarves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Duration(0)
+	exchange := sharedrate.NewExchange(sharedrate.Config{
+		Clock:       func() time.Duration { return now },
+		Members:     func(time.Time) []netip.AddrPort { return nil },
+		SettleTime:  func() time.Duration { return time.Second },
+		ReportError: func(error) {},
+	})
+	exchange.Observe(serverKey, true, 5, 0)
+	permits := make(map[sharedrate.Level]int)
+	random := rand.New(rand.NewPCG(1, 1))
+	for now < 60*time.Second {
+		now += time.Duration(random.ExpFloat64() * float64(20*time.Millisecond))
+		level := sharedrate.Level(random.IntN(2))
+		if _, _, ok := exchange.Acquire(t.Context(), serverKey, level); ok {
+			permits[level]++
+		}
+	}
+	t.Logf("permits by level: %v", permits)
+	g.Expect(permits[0] + permits[1]).To(gomega.BeNumerically("~", 5*60, 30))
+	g.Expect(permits[0]).To(gomega.BeNumerically(">", 3*permits[1]))
+	g.Expect(permits[1]).To(gomega.BeNumerically(">", 5*60/10))
+}
+
 // Guards against messages of a broken router that end this one or make up limits.
 func TestMalformedMessagesAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
