--- a/router/internal/quarantine/exchange_test.go
+++ b/router/internal/quarantine/exchange_test.go
@@ -34,6 +34,22 @@
 	mu          sync.Mutex
 	rows        map[string][]byte
 	unavailable bool
+	era         int64
+}
+
+// Era implements quarantine.Store.
+func (s *fakeStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// restore brings the store back from a copy that has no rows.
+func (s *fakeStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.rows)
+	s.era++
 }
 
 const errUnavailable = errors.ConstError("store unavailable")
@@ -188,6 +204,26 @@
 	g.Expect(refuses(second)()).To(gomega.BeTrue())
 }
 
+// Guards against verdicts that are lost with a store that comes back from an older copy, when
+// all routers start again later.
+func TestVerdictsOutlastAStoreThatComesBackFromAnOlderCopy(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	f := newExchangeFleet(t, 2)
+	first, stopFirst := f.start(0)
+	second, stopSecond := f.start(1)
+	g.Eventually(func() bool { return first.Synced() && second.Synced() }, shareTime).Should(gomega.BeTrue())
+	crashAt(first, second)
+	g.Eventually(f.store.count, shareTime).Should(gomega.Equal(1))
+	f.store.restore()
+	g.Eventually(f.store.count, shareTime).Should(gomega.Equal(1))
+	stopFirst()
+	stopSecond()
+	third, _ := f.start(0)
+	g.Eventually(third.Synced, shareTime).Should(gomega.BeTrue())
+	g.Expect(refuses(third)()).To(gomega.BeTrue())
+}
+
 // Guards against a router that starts while the store is unavailable, and doesn't learn
 // the verdicts of the others.
 func TestRouterLearnsVerdictsFromOthersWhileTheStoreIsAway(t *testing.T) {
--- a/router/internal/quarantine/store.go
+++ b/router/internal/quarantine/store.go
@@ -28,6 +28,10 @@
 
 	// Remove removes a row.
 	Remove(ctx context.Context, key string) error
+
+	// Era returns a number that rises each time that the store comes back from an older
+	// copy, as far as its responses have shown it. Rows may then be missing.
+	Era() int64
 }
 
 // storeLoop reads the verdicts of the store, and then saves new ones and removes old
@@ -37,14 +41,19 @@
 	defer ticker.Stop()
 	loaded := false
 	var expiredAt time.Time
+	savedEra := e.config.Store.Era()
 	for {
 		now := time.Now()
 		if !loaded {
 			loaded = e.load(ctx)
+			savedEra = e.config.Store.Era()
 		}
 		if loaded {
 			e.save(ctx, now)
 		}
+		if era := e.config.Store.Era(); loaded && era > savedEra && e.saveAgain(ctx, now) {
+			savedEra = era
+		}
 		if now.Sub(expiredAt) >= expireInterval {
 			e.removeExpired(ctx, now)
 			expiredAt = now
@@ -98,6 +107,21 @@
 	}
 }
 
+// saveAgain writes the verdicts whose home this router is, after the store came back from
+// an older copy that may lack them. It reports whether all were written.
+func (e *Exchange) saveAgain(ctx context.Context, now time.Time) bool {
+	for _, v := range e.ledger.Verdicts() {
+		if !v.Saved || !e.isHome(now, Key{Scope: v.Scope, Part: v.Parts[0]}) {
+			continue
+		}
+		if err := e.put(ctx, v); err != nil {
+			e.config.ReportError(fmt.Errorf("save verdict again: %w", err))
+			return false // Again at the next tick.
+		}
+	}
+	return true
+}
+
 // removeExpired drops old verdicts, and the rows of those whose home this router is.
 func (e *Exchange) removeExpired(ctx context.Context, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/router/relay/quarantine.go
+++ b/router/relay/quarantine.go
@@ -41,6 +41,10 @@
 
 	// Remove removes a row.
 	Remove(ctx context.Context, key string) error
+
+	// Era returns a number that rises each time that the store comes back from an older
+	// copy, as far as its responses have shown it. Rows may then be missing.
+	Era() int64
 }
 
 // useQuarantine creates the exchange of crashes and verdicts.
