--- a/router/internal/quarantine/exchange.go
+++ b/router/internal/quarantine/exchange.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -77,11 +76,13 @@
 	// synced says that the verdicts of the store or of another router were received.
 	synced atomic.Bool
 
-	// mu guards the fields below, and is not held while the ledger is called. conn is
-	// nil until Run has opened it. starts are the sound starts to be announced;
-	// announcing says that an announcement of them is due.
+	// socket is open while Run runs.
+	socket *datagram.Socket
+
+	// mu guards the fields below, and is not held while the ledger is called. starts are
+	// the sound starts to be announced; announcing says that an announcement of them is
+	// due.
 	mu         sync.Mutex
-	conn       net.PacketConn
 	starts     map[Key]int
 	announcing bool
 
@@ -92,7 +93,7 @@
 
 // NewExchange returns an exchange with an empty ledger. It opens no socket before Run.
 func NewExchange(config Config) *Exchange {
-	e := &Exchange{config: config, starts: make(map[Key]int)}
+	e := &Exchange{config: config, socket: datagram.NewSocket(config.Address, config.ReportError), starts: make(map[Key]int)}
 	e.synced.Store(!config.Address.IsValid()) // Without an address there is nobody to ask.
 	e.ledger = NewLedger(time.Now(), config.Name, func(key Key) bool { return e.isHome(time.Now(), key) })
 	return e
@@ -112,17 +113,13 @@
 
 // Run receives and sends messages until the context ends.
 func (e *Exchange) Run(ctx context.Context) error {
-	conn, err := datagram.Listen(ctx, e.config.Address)
-	if err != nil {
+	if err := e.socket.Open(ctx, datagram.Listen); err != nil {
 		return fmt.Errorf("exchange verdicts: %w", err)
 	}
-	e.mu.Lock()
-	e.conn = conn
-	e.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	group.Add(func() error { return datagram.ReceiveAll(ctx, conn, e.receive, e.config.ReportError) }, func(error) { cancel() })
+	group.Add(func() error { return e.socket.ReceiveAll(ctx, e.receive) }, func(error) { cancel() })
 	group.Add(func() error { return e.tickLoop(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return e.storeLoop(ctx) }, func(error) { cancel() })
 	if err := group.Run(); err != nil {
@@ -310,23 +307,13 @@
 
 // sendAll sends a message to routers.
 func (e *Exchange) sendAll(m message, routers []netip.AddrPort) {
-	e.mu.Lock()
-	conn := e.conn
-	e.mu.Unlock()
-	if conn == nil || len(routers) == 0 {
-		return // Not running yet, or alone.
+	if !e.socket.IsOpen() || len(routers) == 0 {
+		return
 	}
 	data, err := encode(m)
 	if err != nil {
 		e.config.ReportError(err)
 		return
 	}
-	for _, router := range routers {
-		if router == e.config.Address {
-			continue
-		}
-		if _, err := conn.WriteTo(data, net.UDPAddrFromAddrPort(router)); err != nil {
-			e.config.ReportError(fmt.Errorf("send to %s: %w", router, err))
-		}
-	}
+	e.socket.Send(data, routers)
 }
--- a/router/internal/sharedrate/ask.go
+++ b/router/internal/sharedrate/ask.go
@@ -123,7 +123,7 @@
 		e.mu.Unlock()
 		return e.decide(asked)
 	}
-	if now < e.silentUntil[home] || e.conn == nil {
+	if now < e.silentUntil[home] || !e.socket.IsOpen() {
 		e.mu.Unlock()
 		return answer{Unreachable: true}
 	}
--- a/router/internal/sharedrate/exchange.go
+++ b/router/internal/sharedrate/exchange.go
@@ -88,10 +88,12 @@
 	// on a request's path.
 	limited atomic.Int64
 
+	// socket is open while Run runs.
+	socket *datagram.Socket
+
 	// mu guards the fields below. It is a leaf: no function of the configuration is called
-	// while it is held. conn is nil until Run has opened it.
+	// while it is held.
 	mu         sync.Mutex
-	conn       net.PacketConn
 	statements statements
 	view       *view
 	buckets    map[Key]*bucket
@@ -116,6 +118,7 @@
 	e := &Exchange{
 		config:      config,
 		startedAt:   now,
+		socket:      datagram.NewSocket(config.Address, config.ReportError),
 		statements:  make(statements),
 		view:        newView(config.Address, now, config.Seeds),
 		buckets:     make(map[Key]*bucket),
@@ -134,17 +137,13 @@
 	if listen == nil {
 		listen = datagram.Listen
 	}
-	conn, err := listen(ctx, e.config.Address)
-	if err != nil {
+	if err := e.socket.Open(ctx, listen); err != nil {
 		return fmt.Errorf("share rates: %w", err)
 	}
-	e.mu.Lock()
-	e.conn = conn
-	e.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	group.Add(func() error { return datagram.ReceiveAll(ctx, conn, e.receive, e.config.ReportError) }, func(error) { cancel() })
+	group.Add(func() error { return e.socket.ReceiveAll(ctx, e.receive) }, func(error) { cancel() })
 	group.Add(func() error { return e.tickLoop(ctx) }, func(error) { cancel() })
 	if err := group.Run(); err != nil {
 		return fmt.Errorf("share rates: %w", err)
@@ -361,23 +360,13 @@
 
 // sendAll sends a message to routers.
 func (e *Exchange) sendAll(m message, routers []netip.AddrPort) {
-	e.mu.Lock()
-	conn := e.conn
-	e.mu.Unlock()
-	if conn == nil || len(routers) == 0 {
-		return // Not running yet, or alone.
+	if !e.socket.IsOpen() || len(routers) == 0 {
+		return
 	}
 	data, err := encode(m)
 	if err != nil {
 		e.config.ReportError(err)
 		return
 	}
-	for _, router := range routers {
-		if router == e.config.Address {
-			continue
-		}
-		if _, err := conn.WriteTo(data, net.UDPAddrFromAddrPort(router)); err != nil {
-			e.config.ReportError(fmt.Errorf("send to %s: %w", router, err))
-		}
-	}
+	e.socket.Send(data, routers)
 }
--- a/router/internal/sharedrate/scenario_test.go
+++ b/router/internal/sharedrate/scenario_test.go
@@ -86,16 +86,21 @@
 	})
 }
 
-// Guards against a permit that is used after the router stood still.
-func TestAPermitRunsOut(t *testing.T) {
-	g := gomega.NewWithT(t)
-	now := time.Duration(0)
-	exchange := sharedrate.NewExchange(sharedrate.Config{
-		Clock:       func() time.Duration { return now },
+// newLoneExchange returns the exchange of the only router, with a clock that a test sets.
+func newLoneExchange(now *time.Duration) *sharedrate.Exchange {
+	return sharedrate.NewExchange(sharedrate.Config{
+		Clock:       func() time.Duration { return *now },
 		Members:     func(time.Time) []netip.AddrPort { return nil },
 		SettleTime:  func() time.Duration { return time.Second },
 		ReportError: func(error) {},
 	})
+}
+
+// Guards against a permit that is used after the router stood still.
+func TestAPermitRunsOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Duration(0)
+	exchange := newLoneExchange(&now)
 	exchange.Observe(serverKey, true, 1, 0)
 	permit, _, ok := exchange.Acquire(t.Context(), serverKey, 0)
 	for !ok {
@@ -168,12 +173,7 @@
 func TestEarlyLevelsGoFirstAndNoneStarves(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Duration(0)
-	exchange := sharedrate.NewExchange(sharedrate.Config{
-		Clock:       func() time.Duration { return now },
-		Members:     func(time.Time) []netip.AddrPort { return nil },
-		SettleTime:  func() time.Duration { return time.Second },
-		ReportError: func(error) {},
-	})
+	exchange := newLoneExchange(&now)
 	exchange.Observe(serverKey, true, 5, 0)
 	permits := make(map[sharedrate.Level]int)
 	random := rand.New(rand.NewPCG(1, 1))
