Don't take a caller that leaves for a home that does not answer

Cause: a request whose caller left while it waited for a permit kept all requests of its router from the server for 0.2 s. Change: the end of a request's context is no denial. Figures: TestACallerThatLeavesDeniesNoPermitToOthers fails without it and passes with it.

--- a/router/internal/sharedrate/ask.go
+++ b/router/internal/sharedrate/ask.go
@@ -65,6 +65,10 @@
 		return permit, denial, denial == Denial{}
 	}
 	given := e.askHome(ctx, now, ask{Key: key, Statement: known, Level: level, Want: want})
+	if ctx.Err() != nil {
+		e.keep(key, 0, want, Permit{}, Denial{}) // That says nothing about the home.
+		return Permit{}, Denial{Wait: askingInterval}, false
+	}
 	denial = denialOf(given)
 	permit = Permit{expires: now + permitTime}
 	e.keep(key, given.Permits, want, permit, denial)
--- a/router/internal/sharedrate/scenario_test.go
+++ b/router/internal/sharedrate/scenario_test.go
@@ -1,6 +1,7 @@
 package sharedrate_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -190,6 +191,27 @@
 	g.Expect(permits[1]).To(gomega.BeNumerically(">", 5*60/10))
 }
 
+// Guards against a caller that leaves and thereby keeps the requests of others from a server.
+func TestACallerThatLeavesDeniesNoPermitToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 1, fleetConfig{routers: 3, delay: 3 * time.Millisecond, perSecond: 0.001})
+		defer f.close()
+		time.Sleep(5 * time.Second)
+		for _, r := range f.routers {
+			r.process().Observe(serverKey, true, 100, time.Since(f.start))
+		}
+		time.Sleep(time.Second)
+		left, leave := context.WithCancel(t.Context())
+		leave()
+		for _, r := range f.routers {
+			_, _, _ = r.process().Acquire(left, serverKey, 0)
+			_, _, ok := r.process().Acquire(t.Context(), serverKey, 0)
+			g.Expect(ok).To(gomega.BeTrue())
+		}
+	})
+}
+
 // Guards against messages of a broken router that end this one or make up limits.
 func TestMalformedMessagesAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
