Log and count what the retry budget knows of a service

The lines of failed attempts now say how many requests and retries of the service this router had in its window (asked, retried), its part of the extra (part) and how many attempts of the request may have reached a server (written). The metrics of a service gain the retries taken and not returned (taken) and the attempts beyond the first of their request (further). Together they tell apart traffic that changes (each router within its own ratio), arrivals without a retry (further above taken), the extra (part) and requests of another service (one router above its own ratio); the time from the choice to the first byte (sent) was logged already.

The paths that take and return retries now pass through one file.

--- a/router/internal/retrybudget/budget.go
+++ b/router/internal/retrybudget/budget.go
@@ -67,6 +67,15 @@
 // number is zero if no other router was heard. It must not call the budget.
 type RouterCount func() (routers int, grownAt time.Time)
 
+// Usage is what a budget counts of a service in the window that ends now.
+type Usage struct {
+	Requests int
+	Retries  int
+
+	// Part is the router's part of the extra, in retries.
+	Part float64
+}
+
 // slidingWindow holds the counts of the last buckets. Bucket n is stored at index
 // n%bucketCount.
 type slidingWindow struct {
@@ -143,6 +152,14 @@
 	return true
 }
 
+// Usage returns what the budget counts of a service.
+func (b *Budget) Usage(now time.Time, service string) Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	requests, retries, _ := b.windowAt(now, service).totals()
+	return Usage{Requests: requests, Retries: retries, Part: b.part(now)}
+}
+
 // allowed returns the number of retries that this router may send in a window with
 // a number of requests. The caller must hold b.mu.
 func (b *Budget) allowed(now time.Time, requests int) float64 {
@@ -150,11 +167,19 @@
 	if b.extra == 0 {
 		return b.ratio * n
 	}
-	part := 0.0
-	if routers, grownAt := b.routers(); routers > 0 && now.Sub(grownAt) > b.windowLength {
-		part = extraFraction * b.extra / float64(routers)
+	return b.ratio*(n-math.Sqrt(n)) + b.part(now)
+}
+
+// part returns this router's part of the extra. The caller must hold b.mu.
+func (b *Budget) part(now time.Time) float64 {
+	if b.extra == 0 {
+		return 0
+	}
+	routers, grownAt := b.routers()
+	if routers == 0 || now.Sub(grownAt) <= b.windowLength {
+		return 0
 	}
-	return b.ratio*(n-math.Sqrt(n)) + part
+	return extraFraction * b.extra / float64(routers)
 }
 
 // Return gives back a retry that Take allowed and that was not sent. takenAt is
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -121,6 +121,7 @@
 		return p.handleSendError(ctx, reservation, target, err)
 	}
 	defer response.Close()
+	p.countWritten()
 	p.observeLimit(target, response)
 	target.usage.answering.Add(1)
 	defer target.usage.answering.Add(-1)
@@ -193,6 +194,7 @@
 	if !maybeSent {
 		return notSent, err
 	}
+	p.countWritten()
 	p.countExecution()
 	return incomplete, err
 }
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -113,7 +113,7 @@
 const maxLoggedParts = 16
 
 // addAttemptFields adds what is known about an attempt that failed to the fields of
-// its request:
+// its request and of the retry budget:
 //
 //   - outcome: the result of the attempt
 //   - started: whether it had delivered an event
@@ -128,7 +128,7 @@
 		}
 		parts = append(parts, strconv.FormatUint(part.ID, 16))
 	}
-	return p.addRequestFields(event).Stringer("outcome", result).Bool("started", p.started).
+	return p.addBudgetFields(p.addRequestFields(event)).Stringer("outcome", result).Bool("started", p.started).
 		Stringer("digest", p.run.Request).Strs("parts", parts)
 }
 
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -72,11 +72,16 @@
 	gap       metrics.Histogram
 }
 
-// serviceMetrics counts the attempts at a service's servers by their results.
+// serviceMetrics counts the attempts at a service's servers by their results. taken
+// counts the retries that were taken from the budget and not returned, and further the
+// attempts that may have reached a server beyond the first of their request. The
+// difference is what no retry was taken for.
 type serviceMetrics struct {
 	attempts [len(resultNames)]metrics.Counter
 	retries  metrics.Counter
 	denied   metrics.Counter
+	taken    metrics.Counter
+	further  metrics.Counter
 }
 
 // newRequestMetrics registers the metrics of all requests. Those of services follow
@@ -166,6 +171,8 @@
 	s := &serviceMetrics{
 		retries: metrics.GetOrRegisterCounter(prefix+".repeats", m.registry),
 		denied:  metrics.GetOrRegisterCounter(prefix+".denied", m.registry),
+		taken:   metrics.GetOrRegisterCounter(prefix+".taken", m.registry),
+		further: metrics.GetOrRegisterCounter(prefix+".further", m.registry),
 	}
 	for i, name := range resultNames {
 		s.attempts[i] = metrics.GetOrRegisterCounter(prefix+"."+name, m.registry)
@@ -175,8 +182,9 @@
 
 // dropService unregisters the metrics of a service.
 func (m *requestMetrics) dropService(prefix string) {
-	m.registry.Unregister(prefix + ".repeats")
-	m.registry.Unregister(prefix + ".denied")
+	for _, name := range []string{"repeats", "denied", "taken", "further"} {
+		m.registry.Unregister(prefix + "." + name)
+	}
 	for _, name := range resultNames {
 		m.registry.Unregister(prefix + "." + name)
 	}
@@ -253,6 +261,24 @@
 	p.relay.metrics.limited.Inc(1)
 }
 
+// countWritten counts an attempt of which a byte may have reached a server.
+func (p *proxiedRequest) countWritten() {
+	p.written++
+	if p.written == 1 {
+		return
+	}
+	if s := p.relay.metrics.service(p.service); s != nil {
+		s.further.Inc(1)
+	}
+}
+
+// countTaken counts retries taken from the budget, or returned if n is negative.
+func (p *proxiedRequest) countTaken(n int64) {
+	if s := p.relay.metrics.service(p.service); s != nil {
+		s.taken.Inc(n)
+	}
+}
+
 // countRetry counts a retry, or one that the budget denied.
 func (p *proxiedRequest) countRetry(allowed bool) {
 	s := p.relay.metrics.service(p.service)
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -152,7 +152,7 @@
 		return migration
 	}
 	takenAt := time.Now()
-	if !r.retryBudget.Take(takenAt, p.service) {
+	if !p.take(takenAt) {
 		reservation.Done(takenAt, placement.Canceled)
 		migration.err = fmt.Errorf("%w: retry budget used up", errNotMigrated)
 		return migration
@@ -160,7 +160,7 @@
 	request := MigrationRequest{AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address}
 	if migration.err = p.copyRun(ctx, request); migration.err != nil {
 		reservation.Done(time.Now(), placement.Canceled)
-		r.retryBudget.Return(takenAt, p.service)
+		p.giveBack(takenAt)
 		return migration
 	}
 	migration.asked = true
--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -45,17 +45,17 @@
 func (p *proxiedRequest) secureReplacement(ctx context.Context, tried []string) *place {
 	r := p.relay
 	now := time.Now()
-	if !r.retryBudget.TakeSpeculative(now, p.service) {
+	if !p.takeSpeculative(now) {
 		return nil
 	}
 	if !r.balancer.HasRoom(now, p.service, tried) {
-		r.retryBudget.ReturnSpeculative(now, p.service)
+		p.giveBackSpeculative(now)
 		return nil
 	}
 	p.askLoads(ctx, tried)
 	next, choice, err := p.pick(ctx, p.placementRequest, tried)
 	if err != nil {
-		r.retryBudget.ReturnSpeculative(now, p.service)
+		p.giveBackSpeculative(now)
 		return nil
 	}
 	next.retryTakenAt = now
@@ -79,5 +79,5 @@
 		return
 	}
 	unused.reservation.Done(time.Now(), placement.Canceled)
-	p.relay.retryBudget.ReturnSpeculative(unused.retryTakenAt, p.service)
+	p.giveBackSpeculative(unused.retryTakenAt)
 }
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -75,6 +75,9 @@
 	executions int
 	rejections int
 
+	// written is the number of attempts of which a byte may have reached a server.
+	written int
+
 	// choice is the balancer's last choice of a server, chosenAt when it was
 	// made, and listAge the age of the list of servers at that moment.
 	choice   placement.Choice
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	back := p.placeAtSource(last)
-	if back != nil && result == notExecuted && !p.relay.retryBudget.Take(time.Now(), p.service) {
+	if back != nil && result == notExecuted && !p.take(time.Now()) {
 		back.reservation.Done(time.Now(), placement.Canceled)
 		return nil
 	}
@@ -144,7 +144,7 @@
 	if p.headWritten {
 		waitEnd = waitEnd.Add(retryWait)
 	}
-	for !p.relay.retryBudget.Take(time.Now(), p.service) {
+	for !p.take(time.Now()) {
 		if ctx.Err() != nil || time.Now().Add(retryPollInterval).After(waitEnd) {
 			return false
 		}
