--- a/router/internal/retrybudget/fleet_request_test.go
+++ b/router/internal/retrybudget/fleet_request_test.go
@@ -72,9 +72,11 @@
 	}
 	e := r.engine
 	f.schedule(silenceLimit, func() {
-		if r.engine == e {
-			f.handleSilence(r)
-		}
+		f.whenAwake(r.router, func() {
+			if r.engine == e {
+				f.handleSilence(r)
+			}
+		})
 	})
 }
 
@@ -108,7 +110,7 @@
 	f.suspended[suspendedEngine{r.router, r.engine}] = f.now.Add(suspension)
 	f.remove(r)
 	if r.executions < attemptLimit {
-		f.retry(r)
+		f.whenAwake(r.router, func() { f.retry(r) })
 	}
 }
 
--- a/router/internal/retrybudget/fleet_test.go
+++ b/router/internal/retrybudget/fleet_test.go
@@ -112,6 +112,9 @@
 	budget    *retrybudget.Budget
 	startedAt time.Time
 
+	// suspendedUntil is until when the VM stands still.
+	suspendedUntil time.Time
+
 	// side is the side of a partition, and mostRouters the largest number of routers
 	// that were heard, with this one, which last grew at grownAt.
 	side        int
@@ -143,6 +146,11 @@
 
 	rules routerRules
 
+	// entries are the routers that callers send their requests to, and load the
+	// number of requests relative to the usual.
+	entries []int
+	load    float64
+
 	routers   []*simRouter
 	engines   []*simEngine
 	byService [][]*simEngine
@@ -173,12 +181,12 @@
 	f := &fleet{
 		size: size, random: rand.New(rand.NewPCG(seed, uint64(size.routers))), now: time.Now(), rules: rules,
 		byService: make([][]*simEngine, size.services), suspended: make(map[suspendedEngine]time.Time),
-		requests: make([][]time.Time, size.services), sent: make([][]time.Time, size.services),
+		requests: make([][]time.Time, size.services), sent: make([][]time.Time, size.services), load: 1,
 	}
-	for range size.routers {
+	for i := range size.routers {
 		r := &simRouter{}
 		f.restart(r)
-		f.routers = append(f.routers, r)
+		f.routers, f.entries = append(f.routers, r), append(f.entries, i)
 	}
 	f.schedule(0, f.countRouters)
 	weights := 0.0
@@ -246,15 +254,26 @@
 	return time.Duration(f.random.ExpFloat64() * float64(mean))
 }
 
-// ask sends requests for a service to random routers from now on.
+// ask sends requests for a service to random entries from now on.
 func (f *fleet) ask(service int, perSecond float64) {
-	f.schedule(f.exponential(time.Duration(float64(time.Second)/perSecond)), func() {
-		r := &simRequest{router: f.random.IntN(f.size.routers), service: service}
+	f.schedule(f.exponential(time.Duration(float64(time.Second)/perSecond/f.load)), func() {
+		r := &simRequest{router: f.entries[f.random.IntN(len(f.entries))], service: service}
 		f.requests[service] = append(f.requests[service], f.now)
-		f.routers[r.router].budget.RecordRequest(f.now, serviceName(service))
-		f.start(r, f.pick(r))
+		f.whenAwake(r.router, func() {
+			f.routers[r.router].budget.RecordRequest(f.now, serviceName(service))
+			f.start(r, f.pick(r))
+		})
 		f.ask(service, perSecond)
 	})
 }
 
+// whenAwake does something at a router at once, or when its VM goes on.
+func (f *fleet) whenAwake(router int, do func()) {
+	if left := f.routers[router].suspendedUntil.Sub(f.now); left > 0 {
+		f.schedule(left, do)
+		return
+	}
+	do()
+}
+
 func serviceName(service int) string { return fmt.Sprint(service) }
