Keep the sum of all routers' retries to the ratio while callers move

Callers saw nothing; servers got more arrivals beyond the first of their requests than all routers together may send. Cause: each router kept to the ratio of the requests in its own window. When callers move, the routers that they leave still retry for the requests that they had, and those that they go to retry for the requests that they get, in the same window of the sum. A router that started again forgot what it had used, too. Class: what is divided over routers by their own recent traffic.

Now a router keeps, in every window, to half of the ratio of the requests that it had in that window plus half of the ratio of those that it had in the window before. Over all routers both halves are about the same two windows, whoever had the requests, and together at most the ratio of the larger one, which the bound allows. The allowance for windows that end at different times (a standard deviation of each router's requests) is no longer needed.

--- a/router/internal/retrybudget/bound_test.go
+++ b/router/internal/retrybudget/bound_test.go
@@ -80,6 +80,21 @@
 	})
 }
 
+// TestManyRestartedRoutersKeepTheBound has half of all routers restart at once while all
+// engines fail, when they have used their retries. It guards against routers that forget
+// what they used of the ratio.
+func TestManyRestartedRoutersKeepTheBound(t *testing.T) {
+	t.Parallel()
+	expectBoundKept(t, func(f *fleet) {
+		f.strike(allFail, longOutage)
+		f.run(5 * time.Second)
+		for _, r := range f.routers[:f.size.routers/2] {
+			f.restart(r)
+		}
+		f.run(longOutage)
+	})
+}
+
 // TestStartingRoutersKeepTheBound has all routers start shortly before all engines
 // fail. It guards against routers that take the part of a smaller number of routers
 // before they have heard of all.
--- a/router/internal/retrybudget/budget.go
+++ b/router/internal/retrybudget/budget.go
@@ -1,6 +1,17 @@
-// Package retrybudget limits retries, which send a request to a second backend server.
-// Each router limits its retries to a ratio of the requests that it received
-// itself, so that all routers together stay within the ratio without coordination.
+// Package retrybudget limits retries, which send a request to a second backend server,
+// to a ratio of the requests in any window, summed over all routers. Each router decides
+// by its own counts, without coordination.
+//
+// A router that stayed within the ratio of its own window would not be enough: when
+// callers move, the routers that they leave retry for the requests that they had, and
+// those that they go to for the requests that they get, both in the same window. So each
+// router keeps, in every window, to half of the ratio of the requests that it had in that
+// window, and half of the ratio of those that it had in the window before. In a sum over
+// routers both halves are about the same two windows, whichever router had the requests,
+// and half of the requests of each is at most as many as the larger of the two had. That
+// holds for callers that move and for loads that change, and beside routers that start
+// again, which have less to count. It costs nothing while the traffic is steady, except that
+// the second half becomes available over the window, and not at once.
 //
 // The bound of all routers may have an extra beyond the ratio. A router uses a part
 // of it by the number of routers that it has heard of, which is never more than
@@ -14,13 +25,11 @@
 //     those together that start on one side. On the other side none can serve, as
 //     a router needs the table of the plan to start.
 //
-// The windows of the routers end at different times, each when its own requests are
-// many. For requests at random times that raises the sum by about a standard
-// deviation of each router's number, which is taken off in turn.
+// What the parts leave covers what the counts can't: a retry that arrives later than it
+// was taken, and a request that a suspended router reads later than it was sent.
 package retrybudget
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -29,9 +38,12 @@
 	// bucketsPerWindow is the number of buckets that a window is divided into.
 	bucketsPerWindow = 20
 
-	// bucketCount is the number of buckets that are kept. Retries are counted for
-	// longer than a window, since a window may begin in the middle of a bucket.
-	bucketCount = bucketsPerWindow + 2
+	// bucketCount is the number of buckets that are kept: those of two windows.
+	bucketCount = 2 * bucketsPerWindow
+
+	// windowShare is the share of the ratio that the requests of a window earn for
+	// retries in the same window, and again for retries in the next one.
+	windowShare = 0.5
 
 	// SpeculativeFraction is the fraction of the allowed retries of a window that
 	// may be speculative.
@@ -76,15 +88,17 @@
 	Part float64
 }
 
-// slidingWindow holds the counts of the last buckets. Bucket n is stored at index
+// bucketCounts holds a count for each of the last buckets. Bucket n is stored at index
 // n%bucketCount.
+type bucketCounts [bucketCount]int
+
+// slidingWindow holds the counts of a service.
 type slidingWindow struct {
-	requests [bucketCount]int
+	requests bucketCounts
 
-	// retries counts all retries, and speculative those of them that are
-	// speculative.
-	retries     [bucketCount]int
-	speculative [bucketCount]int
+	// retries counts all retries, and speculative those that are speculative.
+	retries     bucketCounts
+	speculative bucketCounts
 
 	// current is the number of the latest bucket.
 	current int64
@@ -127,9 +141,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
-	requests, retries, _ := w.totals()
-	exempt := b.extra == 0 && retries == 0
-	if !exempt && float64(retries+1) > b.allowed(now, requests) {
+	exempt := b.extra == 0 && w.sum(&w.retries, bucketsPerWindow+1) == 0
+	if !exempt && !b.available(now, w, false) {
 		return false
 	}
 	w.retries[w.current%bucketCount]++
@@ -142,9 +155,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
-	requests, retries, speculative := w.totals()
-	allowed := b.allowed(now, requests)
-	if float64(retries+1) > allowed || float64(speculative+1) > SpeculativeFraction*allowed {
+	if !b.available(now, w, true) {
 		return false
 	}
 	w.retries[w.current%bucketCount]++
@@ -152,22 +163,42 @@
 	return true
 }
 
+// available reports whether this router may send one more retry. It may if the bound
+// holds in each window in progress, with the requests so far of that window and of the
+// one before it. A window may begin in the middle of a bucket, so that all retries of its
+// first bucket count, and no request of the bucket in which the window before it began. The
+// caller must hold b.mu.
+func (b *Budget) available(now time.Time, w *slidingWindow, speculative bool) bool {
+	part := b.part(now)
+	retries, speculativeRetries := 1, 1
+	requests := w.sum(&w.requests, bucketsPerWindow-1)
+	ownLimit := b.ratio * float64(w.sum(&w.requests, bucketsPerWindow))
+	for age := range bucketsPerWindow + 1 {
+		retries += w.retries[w.index(age)]
+		speculativeRetries += w.speculative[w.index(age)]
+		requests += w.requests[w.index(age+bucketsPerWindow-1)]
+		allowed := windowShare * b.ratio * float64(requests)
+		if age == bucketsPerWindow {
+			allowed = min(allowed, ownLimit) // Also if the requests have become fewer.
+		}
+		allowed += part
+		if float64(retries) > allowed || speculative && float64(speculativeRetries) > SpeculativeFraction*allowed {
+			return false
+		}
+	}
+	return true
+}
+
 // Usage returns what the budget counts of a service.
 func (b *Budget) Usage(now time.Time, service string) Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	requests, retries, _ := b.windowAt(now, service).totals()
-	return Usage{Requests: requests, Retries: retries, Part: b.part(now)}
-}
-
-// allowed returns the number of retries that this router may send in a window with
-// a number of requests. The caller must hold b.mu.
-func (b *Budget) allowed(now time.Time, requests int) float64 {
-	n := float64(requests)
-	if b.extra == 0 {
-		return b.ratio * n
+	w := b.windowAt(now, service)
+	return Usage{
+		Requests: w.sum(&w.requests, bucketsPerWindow),
+		Retries:  w.sum(&w.retries, bucketsPerWindow),
+		Part:     b.part(now),
 	}
-	return b.ratio*(n-math.Sqrt(n)) + b.part(now)
 }
 
 // part returns this router's part of the extra. The caller must hold b.mu.
@@ -205,18 +236,18 @@
 	}
 }
 
-// totals returns the requests of a window, and all retries and the speculative
-// ones that are kept.
-func (w *slidingWindow) totals() (requests, retries, speculative int) {
-	for age := range int64(bucketCount) {
-		i := (w.current - age + bucketCount) % bucketCount
-		retries += w.retries[i]
-		speculative += w.speculative[i]
-		if age < bucketsPerWindow {
-			requests += w.requests[i]
-		}
+// index returns where the bucket is stored that is a number of buckets before the latest.
+func (w *slidingWindow) index(age int) int64 {
+	return (w.current - int64(age) + bucketCount) % bucketCount
+}
+
+// sum returns the sum of the latest n buckets of one of the counts.
+func (w *slidingWindow) sum(counts *bucketCounts, n int) int {
+	sum := 0
+	for age := range n {
+		sum += counts[w.index(age)]
 	}
-	return requests, retries, speculative
+	return sum
 }
 
 // bucketOf returns the counts of a service and the index of the bucket of a past
