Refuse uploads that a planned stop ends, instead of breaking them off

The request was never passed on, so 503 with a Retry-After is the truth. After 0.6 of the grace period a stopping router now ends reads of bodies and answers so; what is complete by then still has a third of the grace period to run. A body that becomes complete in the same moment is refused too, since the HTTP server takes the interruption for a lost caller.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -110,6 +110,10 @@
 	// requests, or zero while it is not stopping.
 	lingerUntil atomic.Int64
 
+	// uploads ends when a stopping relay reads no more of requests' bodies.
+	uploads    context.Context
+	endUploads context.CancelFunc
+
 	// bounds are the bounds in force. Operators may change them.
 	bounds atomic.Pointer[Bounds]
 
@@ -157,6 +161,7 @@
 
 		limitRefusals: newRefusalPace(),
 	}
+	r.uploads, r.endUploads = context.WithCancel(context.Background())
 	r.servers.Store(&map[string]*backendServer{})
 	r.setBounds(options.bounds)
 	return r
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -20,6 +20,9 @@
 	// errBodyTooLong means that a body exceeds the plan's limit.
 	errBodyTooLong = errors.ConstError("body too long")
 
+	// errUploadEnded means that the router stops and reads no more of the body.
+	errUploadEnded = errors.ConstError("stopping during the upload")
+
 	// errBodyMemory means that the bodies of concurrent requests use up the
 	// memory reserved for bodies.
 	errBodyMemory = errors.ConstError("no memory left for request bodies")
@@ -235,10 +238,27 @@
 	return false
 }
 
-// readBody reads the whole body, so that it can be sent again and so that the
-// HTTP server notices when the caller disconnects. The memory that it reserves
-// is returned by releaseBody.
+// readBody reads the whole body, unless the router stops meanwhile.
 func (p *proxiedRequest) readBody() error {
+	stopWaiting := context.AfterFunc(p.relay.uploads, p.interruptReading)
+	err := p.readWholeBody()
+	if !stopWaiting() {
+		return errUploadEnded // Even if it was complete: the HTTP server sees the interruption as a lost caller.
+	}
+	return err
+}
+
+// interruptReading makes reads of the body fail, in progress or later.
+func (p *proxiedRequest) interruptReading() {
+	if err := http.NewResponseController(p.writer).SetReadDeadline(time.Unix(1, 0)); err != nil {
+		p.relay.options.log.Request(time.Now(), err).Str("request", p.info.AttemptID).Msg("upload not interrupted")
+	}
+}
+
+// readWholeBody reads the body, so that it can be sent again and so that the HTTP
+// server notices when the caller disconnects. The memory that it reserves is returned
+// by releaseBody.
+func (p *proxiedRequest) readWholeBody() error {
 	p.hasBody = p.request.ContentLength > 0 || len(p.request.TransferEncoding) > 0 ||
 		p.request.Header.Get("Content-Length") != ""
 	limit := p.index.plan.Limits.MaxBodyBytes
@@ -298,6 +318,10 @@
 		p.reject(http.StatusRequestEntityTooLarge, err.Error())
 		return
 	}
+	if errors.Is(err, errUploadEnded) {
+		p.refuse(err.Error(), otherRouterDelay)
+		return
+	}
 	if errors.Is(err, errBodyMemory) {
 		p.refuse(err.Error(), shortRetryDelay)
 		return
--- a/router/relay/shutdown.go
+++ b/router/relay/shutdown.go
@@ -15,8 +15,10 @@
 	// lingerFraction is the fraction of the grace period in which a stopping
 	// node still accepts connections and requests, as callers learn late that it
 	// stops. finishFraction is the fraction after which requests in progress are
-	// cut off.
+	// cut off, and uploadFraction that after which uploads are refused, so that those
+	// that were complete before have time to run.
 	lingerFraction = 0.37
+	uploadFraction = 0.6
 	finishFraction = 0.93
 
 	// drainPollInterval is the interval at which a stopping node checks which
@@ -31,7 +33,8 @@
 // From then on the readiness check fails and responses close their connections;
 // requests from callers that have not noticed are still served for the linger
 // time. Then the callers' listener is closed, so that no request is sent on a new
-// connection. Requests on open connections are refused. A connection is closed
+// connection. Requests on open connections are refused, and some time later those
+// whose bodies are still being read. A connection is closed
 // after its last response. Those that are silent are closed last, when no request
 // is in progress, as a request may cross the closing.
 //
@@ -49,7 +52,9 @@
 	}
 	grace := n.relay.bounds.Load().GracePeriod
 	linger := time.Duration(lingerFraction * float64(grace))
-	finish := n.config.Clock() + time.Duration(finishFraction*float64(grace))
+	stoppedAt := n.config.Clock()
+	uploadEnd := stoppedAt + time.Duration(uploadFraction*float64(grace))
+	finish := stoppedAt + time.Duration(finishFraction*float64(grace))
 	n.relay.stop(linger)
 	n.log.StateChange().Int64("inflight", n.relay.inProgress()).Dur("linger", linger).Msg("router stopping")
 	sleep(ctx, linger)
@@ -60,6 +65,9 @@
 	n.log.StateChange().Int64("inflight", n.relay.inProgress()).
 		Int("connections", n.callers.openConnections()).Msg("callers' listener closed")
 	for !n.callers.drained() && n.config.Clock() < finish && ctx.Err() == nil {
+		if n.config.Clock() >= uploadEnd {
+			n.relay.endUploads()
+		}
 		if time.Since(closedAt) >= silenceTime && n.relay.inProgress() == 0 {
 			n.callers.closeSilent(time.Now().Add(-silenceTime))
 		}
