--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -380,21 +380,18 @@
 
 // pickService picks a service at random by the weights.
 func pickService(splits []Split) string {
-	total := 0
+	total := 0.0
 	for _, s := range splits {
-		total += max(s.Weight, 0)
+		total += max(float64(s.Weight), 0)
 	}
-	if total == 0 {
-		if len(splits) == 0 {
-			return ""
-		}
-		return splits[0].Service
-	}
-	n := rand.IntN(total)
+	n := rand.Float64() * total
 	for _, s := range splits {
-		if n -= max(s.Weight, 0); n < 0 {
+		if n -= max(float64(s.Weight), 0); n < 0 {
 			return s.Service
 		}
 	}
-	return ""
+	if len(splits) == 0 {
+		return ""
+	}
+	return splits[0].Service
 }
