Drop load reports whose numbers would spoil the sums of loads

A number that is none, infinite or far too large was added to the sums of demand and failure rates at a router; taking it off again with the next report left no number, for good.

--- a/router/internal/loadreport/codec.go
+++ b/router/internal/loadreport/codec.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"snipetally.example/coordination/feed"
 	"snipetally.example/router/internal/placement"
@@ -134,6 +136,9 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return message{}, fmt.Errorf("decode message: %w", err)
 	}
+	if err := checkNumbers(w.Loads, w.Demands); err != nil {
+		return message{}, err
+	}
 	m := message{HasReport: w.HasReport, PlanAge: time.Duration(w.PlanAgeMS) * time.Millisecond, HasPlan: w.PlanAgeMS != noPlanAgeMS}
 	m.Proofs = Proofs{Plan: decodeProof(w.Plan), Servers: decodeProof(w.Servers)}
 	m.Report.Loads = decodeLoads(w.Loads)
@@ -157,6 +162,27 @@
 	return m, nil
 }
 
+// maxNumber bounds the numbers of a message. The balancer adds them to sums and takes
+// them off again, so that one that is infinite or far too large would spoil a sum for good.
+const maxNumber = 1e12
+
+// checkNumbers returns an error if a number is none or far too large.
+func checkNumbers(loads []wireLoad, demands []wireDemand) error {
+	var numbers []float32
+	for _, l := range loads {
+		numbers = append(numbers, l.FailureRate)
+	}
+	for _, d := range demands {
+		numbers = append(numbers, d.TokenRate, d.PrefillSpeed, d.ShortLength, d.Short[0], d.Short[1], d.Long[0], d.Long[1])
+	}
+	for _, n := range numbers {
+		if !(math.Abs(float64(n)) <= maxNumber) { // Also if it is not a number.
+			return errors.NotValidf("number %g in a message", n)
+		}
+	}
+	return nil
+}
+
 // encodeProof returns the wire format of a proof.
 func encodeProof(p feed.Proof) wireProof {
 	return wireProof{Changed: p.Changed, Covered: p.Covered, ClockMS: p.Clock.Milliseconds()}
--- a/router/internal/loadreport/directory_codec.go
+++ b/router/internal/loadreport/directory_codec.go
@@ -41,5 +41,8 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return directoryMessage{}, fmt.Errorf("decode directory message: %w", err)
 	}
+	if err := checkNumbers(w.Loads, nil); err != nil {
+		return directoryMessage{}, err
+	}
 	return directoryMessage{Question: w.Question, Answer: w.Answer, Loads: decodeLoads(w.Loads)}, nil
 }
