Leave the last retries to requests that can't be refused

Such a request has not run; 503 is true for it and its caller comes back, while a stream that broke off can't be refused.

Retries for rejected requests that have not run now stop at three quarters of what is allowed.

--- a/router/internal/retrybudget/budget.go
+++ b/router/internal/retrybudget/budget.go
@@ -49,6 +49,10 @@
 	// may be speculative.
 	SpeculativeFraction = 0.5
 
+	// RejectedFraction is the fraction of the allowed retries of a window after which
+	// there are no more for requests that were rejected.
+	RejectedFraction = 0.75
+
 	// extraFraction is the fraction of the extra that the parts of all routers add
 	// up to if each has heard of all others.
 	extraFraction = 0.5
@@ -59,7 +63,9 @@
 //
 // A retry after a failure replaces an attempt that is lost. A speculative retry
 // replaces one that may still succeed, so it may use a fraction of the budget only
-// and leaves the rest to failures.
+// and leaves the rest to failures. A request that was rejected has not run, and its
+// caller can be asked to come back; it leaves the last retries to those whose attempt is
+// lost, such as streams that broke off.
 type Budget struct {
 	windowLength time.Duration
 
@@ -138,11 +144,22 @@
 // Without an extra it always allows one in a window, since a router with few
 // requests would otherwise have none.
 func (b *Budget) Take(now time.Time, service string) bool {
+	return b.takeWithin(now, service, 1)
+}
+
+// TakeRejected is Take for a request that was rejected and has not run anywhere.
+func (b *Budget) TakeRejected(now time.Time, service string) bool {
+	return b.takeWithin(now, service, RejectedFraction)
+}
+
+// takeWithin consumes one retry if that leaves the retries of each window within a
+// fraction of what is allowed.
+func (b *Budget) takeWithin(now time.Time, service string, fraction float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
 	exempt := b.extra == 0 && w.sum(&w.retries, bucketsPerWindow+1) == 0
-	if !exempt && !b.available(now, w, false) {
+	if !exempt && !b.available(now, w, func(retries, _ int, allowed float64) bool { return float64(retries) <= fraction*allowed }) {
 		return false
 	}
 	w.retries[w.current%bucketCount]++
@@ -155,7 +172,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(now, service)
-	if !b.available(now, w, true) {
+	within := func(retries, speculative int, allowed float64) bool {
+		return float64(retries) <= allowed && float64(speculative) <= SpeculativeFraction*allowed
+	}
+	if !b.available(now, w, within) {
 		return false
 	}
 	w.retries[w.current%bucketCount]++
@@ -166,23 +186,23 @@
 // available reports whether this router may send one more retry. It may if the bound
 // holds in each window in progress, with the requests so far of that window and of the
 // one before it. A window may begin in the middle of a bucket, so that all retries of its
-// first bucket count, and no request of the bucket in which the window before it began. The
-// caller must hold b.mu.
-func (b *Budget) available(now time.Time, w *slidingWindow, speculative bool) bool {
+// first bucket count, and no request of the bucket in which the window before it began.
+// within reports whether a window's retries, and the speculative ones, with one more of
+// each, are within what is allowed. The caller must hold b.mu.
+func (b *Budget) available(now time.Time, w *slidingWindow, within func(retries, speculative int, allowed float64) bool) bool {
 	part := b.part(now)
-	retries, speculativeRetries := 1, 1
+	retries, speculative := 1, 1
 	requests := w.sum(&w.requests, bucketsPerWindow-1)
 	ownLimit := b.ratio * float64(w.sum(&w.requests, bucketsPerWindow))
 	for age := range bucketsPerWindow + 1 {
 		retries += w.retries[w.index(age)]
-		speculativeRetries += w.speculative[w.index(age)]
+		speculative += w.speculative[w.index(age)]
 		requests += w.requests[w.index(age+bucketsPerWindow-1)]
 		allowed := windowShare * b.ratio * float64(requests)
 		if age == bucketsPerWindow {
 			allowed = min(allowed, ownLimit) // Also if the requests have become fewer.
 		}
-		allowed += part
-		if float64(retries) > allowed || speculative && float64(speculativeRetries) > SpeculativeFraction*allowed {
+		if !within(retries, speculative, allowed+part) {
 			return false
 		}
 	}
--- a/router/internal/retrybudget/budget_test.go
+++ b/router/internal/retrybudget/budget_test.go
@@ -229,6 +229,27 @@
 	g.Expect(failures).To(gomega.Equal(5))
 }
 
+// TestRejectedRequestsLeaveTheLastRetries guards against streams that broke off and find no
+// retry, as requests that have not run and can come back have used all of them.
+func TestRejectedRequestsLeaveTheLastRetries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := retrybudget.NewBudget(ratio, windowLength)
+	now := time.Now()
+	for range 200 {
+		budget.RecordRequest(now, "s")
+	}
+	rejected, lost := 0, 0
+	for budget.TakeRejected(now, "s") {
+		rejected++
+	}
+	for budget.Take(now, "s") {
+		lost++
+	}
+	g.Expect(rejected).To(gomega.Equal(15))
+	g.Expect(lost).To(gomega.Equal(5))
+	g.Expect(budget.TakeRejected(now, "idle")).To(gomega.BeTrue(), "one retry is always allowed without an extra")
+}
+
 // TestPartOfTheExtraIsByTheRoutersHeard checks a router's part of the extra, which
 // it has once the number of routers has not grown for a window.
 func TestPartOfTheExtraIsByTheRoutersHeard(t *testing.T) {
--- a/router/relay/budget.go
+++ b/router/relay/budget.go
@@ -15,6 +15,15 @@
 	return true
 }
 
+// takeRejected takes a retry for a request that was rejected and has not run.
+func (p *proxiedRequest) takeRejected(now time.Time) bool {
+	if !p.relay.retryBudget.TakeRejected(now, p.service) {
+		return false
+	}
+	p.countTaken(1)
+	return true
+}
+
 // giveBack returns a retry that was taken at a time and not sent.
 func (p *proxiedRequest) giveBack(takenAt time.Time) {
 	p.relay.retryBudget.Return(takenAt, p.service)
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return nil, err.Error()
 	}
-	if last != notSent && !p.takeRetry(ctx) {
+	if last != notSent && !p.takeRetry(ctx, last) {
 		next.reservation.Done(time.Now(), placement.Canceled)
 		p.countRetry(false)
 		return nil, "retry budget used up"
@@ -137,9 +137,12 @@
 	}
 }
 
-// takeRetry takes a retry from the budget. A stream that has begun waits for one,
-// as its caller can't be told to come back.
-func (p *proxiedRequest) takeRetry(ctx context.Context) bool {
+// takeRetry takes a retry from the budget after an attempt. A stream that has begun waits
+// for one, as its caller can't be told to come back.
+func (p *proxiedRequest) takeRetry(ctx context.Context, last attemptResult) bool {
+	if last == notExecuted && p.executions == 0 {
+		return p.takeRejected(time.Now())
+	}
 	waitEnd := time.Now()
 	if p.headWritten {
 		waitEnd = waitEnd.Add(retryWait)
