--- a/router/relay/budget.go
+++ b/router/relay/budget.go
@@ -6,42 +6,20 @@
 	"github.com/rs/zerolog"
 )
 
-// take takes a retry from the budget and reports whether there was one.
-func (p *proxiedRequest) take(now time.Time) bool {
-	if !p.relay.retryBudget.Take(now, p.service) {
+// take takes a retry from the budget by one of its methods, and reports whether there
+// was one.
+func (p *proxiedRequest) take(now time.Time, method func(now time.Time, service string) bool) bool {
+	if !method(now, p.service) {
 		return false
 	}
 	p.countTaken(1)
 	return true
 }
 
-// takeRejected takes a retry for a request that was rejected and has not run.
-func (p *proxiedRequest) takeRejected(now time.Time) bool {
-	if !p.relay.retryBudget.TakeRejected(now, p.service) {
-		return false
-	}
-	p.countTaken(1)
-	return true
-}
-
-// giveBack returns a retry that was taken at a time and not sent.
-func (p *proxiedRequest) giveBack(takenAt time.Time) {
-	p.relay.retryBudget.Return(takenAt, p.service)
-	p.countTaken(-1)
-}
-
-// takeSpeculative takes a speculative retry and reports whether there was one.
-func (p *proxiedRequest) takeSpeculative(now time.Time) bool {
-	if !p.relay.retryBudget.TakeSpeculative(now, p.service) {
-		return false
-	}
-	p.countTaken(1)
-	return true
-}
-
-// giveBackSpeculative returns a speculative retry that was taken at a time and not sent.
-func (p *proxiedRequest) giveBackSpeculative(takenAt time.Time) {
-	p.relay.retryBudget.ReturnSpeculative(takenAt, p.service)
+// giveBack returns a retry that was taken at a time and not sent, by the budget's method
+// for its kind.
+func (p *proxiedRequest) giveBack(takenAt time.Time, method func(takenAt time.Time, service string)) {
+	method(takenAt, p.service)
 	p.countTaken(-1)
 }
 
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -152,7 +152,7 @@
 		return migration
 	}
 	takenAt := time.Now()
-	if !p.take(takenAt) {
+	if !p.take(takenAt, r.retryBudget.Take) {
 		reservation.Done(takenAt, placement.Canceled)
 		migration.err = fmt.Errorf("%w: retry budget used up", errNotMigrated)
 		return migration
@@ -160,7 +160,7 @@
 	request := MigrationRequest{AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address}
 	if migration.err = p.copyRun(ctx, request); migration.err != nil {
 		reservation.Done(time.Now(), placement.Canceled)
-		p.giveBack(takenAt)
+		p.giveBack(takenAt, r.retryBudget.Return)
 		return migration
 	}
 	migration.asked = true
--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -45,17 +45,17 @@
 func (p *proxiedRequest) secureReplacement(ctx context.Context, tried []string) *place {
 	r := p.relay
 	now := time.Now()
-	if !p.takeSpeculative(now) {
+	if !p.take(now, r.retryBudget.TakeSpeculative) {
 		return nil
 	}
 	if !r.balancer.HasRoom(now, p.service, tried) {
-		p.giveBackSpeculative(now)
+		p.giveBack(now, r.retryBudget.ReturnSpeculative)
 		return nil
 	}
 	p.askLoads(ctx, tried)
 	next, choice, err := p.pick(ctx, p.placementRequest, tried)
 	if err != nil {
-		p.giveBackSpeculative(now)
+		p.giveBack(now, r.retryBudget.ReturnSpeculative)
 		return nil
 	}
 	next.retryTakenAt = now
@@ -79,5 +79,5 @@
 		return
 	}
 	unused.reservation.Done(time.Now(), placement.Canceled)
-	p.giveBackSpeculative(unused.retryTakenAt)
+	p.giveBack(unused.retryTakenAt, p.relay.retryBudget.ReturnSpeculative)
 }
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	back := p.placeAtSource(last)
-	if back != nil && result == notExecuted && !p.take(time.Now()) {
+	if back != nil && result == notExecuted && !p.take(time.Now(), p.relay.retryBudget.Take) {
 		back.reservation.Done(time.Now(), placement.Canceled)
 		return nil
 	}
@@ -141,13 +141,13 @@
 // for one, as its caller can't be told to come back.
 func (p *proxiedRequest) takeRetry(ctx context.Context, last attemptResult) bool {
 	if last == notExecuted && p.executions == 0 {
-		return p.takeRejected(time.Now())
+		return p.take(time.Now(), p.relay.retryBudget.TakeRejected)
 	}
 	waitEnd := time.Now()
 	if p.headWritten {
 		waitEnd = waitEnd.Add(retryWait)
 	}
-	for !p.take(time.Now()) {
+	for !p.take(time.Now(), p.relay.retryBudget.Take) {
 		if ctx.Err() != nil || time.Now().Add(retryPollInterval).After(waitEnd) {
 			return false
 		}
