--- /dev/null
+++ b/router/internal/sharedrate/announce.go
@@ -0,0 +1,43 @@
+package sharedrate
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// What several routers hear at the same time is announced after a random delay, and
+	// not at all by those that another router has told by then. The delay grows with the
+	// number of routers, from announceDelay, by announceDelayStep for each.
+	announceDelay     = 10 * time.Millisecond
+	announceDelayStep = 500 * time.Microsecond
+)
+
+// announceLater announces a change to all routers soon. The caller holds e.mu.
+func (e *Exchange) announceLater(key Key) {
+	e.pending[key] = struct{}{}
+	if e.announcing {
+		return
+	}
+	e.announcing = true
+	longest := announceDelay + time.Duration(len(e.view.members()))*announceDelayStep
+	time.AfterFunc(time.Duration(rand.Int64N(int64(longest))), e.announce)
+}
+
+// announce sends the changes that no other router has announced meanwhile.
+func (e *Exchange) announce() {
+	e.mu.Lock()
+	now := e.config.Clock()
+	var changes []keyedStatement
+	for key := range e.pending {
+		changes = append(changes, keyedStatement{Key: key, Statement: e.statements[key]})
+	}
+	clear(e.pending)
+	e.announcing = false
+	others := slices.Clone(e.view.members())
+	e.mu.Unlock()
+	for chunk := range slices.Chunk(changes, maxStatementsPerMessage) {
+		e.sendAll(message{sentAt: now, Statements: chunk}, others)
+	}
+}
--- a/router/internal/sharedrate/exchange.go
+++ b/router/internal/sharedrate/exchange.go
@@ -4,10 +4,8 @@
 	"context"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,20 +26,9 @@
 	pruneInterval = 10 * time.Second
 	bucketTTL     = time.Minute
 
-	// What several routers hear at the same time is announced after a random delay, and
-	// not at all by those that another router has told by then. The delay grows with the
-	// number of routers, from announceDelay, by announceDelayStep for each.
-	announceDelay     = 10 * time.Millisecond
-	announceDelayStep = 500 * time.Microsecond
-
 	// maxStatementsPerMessage is the number of statements in a message.
 	maxStatementsPerMessage = 64
 
-	// maxSyncTime is how long a router waits for the statements of others after its start,
-	// and commonStartTime how long if it hears only from others that have none either.
-	maxSyncTime     = 1500 * time.Millisecond
-	commonStartTime = 3 * tickInterval
-
 	// minValueChange is the relative change of a limit from which on the home is told.
 	minValueChange = 0.01
 )
@@ -212,41 +199,6 @@
 	e.limited.Store(n)
 }
 
-// Synced reports whether the router knows the limits that were named before its start, or
-// has waited for them long enough.
-func (e *Exchange) Synced() bool { return e.synced.Load() }
-
-// askForStatements asks other routers for all their statements.
-func (e *Exchange) askForStatements(now time.Duration) {
-	age := now - e.startedAt
-	if age > maxSyncTime || e.heardUnsynced.Load() && age > commonStartTime {
-		e.synced.Store(true)
-		return
-	}
-	e.mu.Lock()
-	others := slices.Clone(e.view.members())
-	e.mu.Unlock()
-	e.sendAll(message{Sync: syncAsk}, append(others, e.config.Seeds...))
-}
-
-// answerSync sends all statements to a router, and the number of routers that it should
-// reckon with.
-func (e *Exchange) answerSync(to netip.AddrPort) {
-	e.mu.Lock()
-	now, most := e.config.Clock(), e.view.most
-	all := make([]keyedStatement, 0, len(e.statements))
-	for key, s := range e.statements {
-		if s.Limited {
-			all = append(all, keyedStatement{Key: key, Statement: s})
-		}
-	}
-	e.mu.Unlock()
-	for chunk := range slices.Chunk(all, maxStatementsPerMessage) {
-		e.sendAll(message{sentAt: now, Statements: chunk}, []netip.AddrPort{to})
-	}
-	e.sendAll(message{Sync: syncAnswer, Routers: most}, []netip.AddrPort{to})
-}
-
 // Observe records what a response says of a rate. If it names no limit, that holds from
 // the time on the clock at which its request was sent: a server that named one since then
 // may have written the response before.
@@ -274,34 +226,6 @@
 	}
 }
 
-// announceLater announces a change to all routers soon. The caller holds e.mu.
-func (e *Exchange) announceLater(key Key) {
-	e.pending[key] = struct{}{}
-	if e.announcing {
-		return
-	}
-	e.announcing = true
-	longest := announceDelay + time.Duration(len(e.view.members()))*announceDelayStep
-	time.AfterFunc(time.Duration(rand.Int64N(int64(longest))), e.announce)
-}
-
-// announce sends the changes that no other router has announced meanwhile.
-func (e *Exchange) announce() {
-	e.mu.Lock()
-	now := e.config.Clock()
-	var changes []keyedStatement
-	for key := range e.pending {
-		changes = append(changes, keyedStatement{Key: key, Statement: e.statements[key]})
-	}
-	clear(e.pending)
-	e.announcing = false
-	others := slices.Clone(e.view.members())
-	e.mu.Unlock()
-	for chunk := range slices.Chunk(changes, maxStatementsPerMessage) {
-		e.sendAll(message{sentAt: now, Statements: chunk}, others)
-	}
-}
-
 // receive handles a message of another router.
 func (e *Exchange) receive(sender netip.AddrPort, data []byte) error {
 	now := e.config.Clock()
