--- a/router/internal/retrybudget/budget_test.go
+++ b/router/internal/retrybudget/budget_test.go
@@ -208,45 +208,46 @@
 	g.Expect(budget.Take(later, "s")).To(gomega.BeFalse())
 }
 
+// newBusyBudget returns a budget with a number of requests that came at once.
+func newBusyBudget(now time.Time, requests int) *retrybudget.Budget {
+	budget := retrybudget.NewBudget(ratio, windowLength)
+	for range requests {
+		budget.RecordRequest(now, "s")
+	}
+	return budget
+}
+
+// takeAll takes retries by one of the budget's methods until there are none, or far too
+// many, and returns how many there were.
+func takeAll(now time.Time, take func(now time.Time, service string) bool) int {
+	const tooMany = 1000
+	taken := 0
+	for taken < tooMany && take(now, "s") {
+		taken++
+	}
+	return taken
+}
+
 // TestFailuresFindTheRestOfTheBudget checks that speculative retries leave half of
 // the retries to failures that are allowed at once, which are half of the ratio.
 func TestFailuresFindTheRestOfTheBudget(t *testing.T) {
 	g := gomega.NewWithT(t)
-	budget := retrybudget.NewBudget(ratio, windowLength)
 	now := time.Now()
-	g.Expect(budget.TakeSpeculative(now, "s")).To(gomega.BeFalse())
-	for range 100 {
-		budget.RecordRequest(now, "s")
-	}
-	speculative, failures := 0, 0
-	for budget.TakeSpeculative(now, "s") {
-		speculative++
-	}
-	for budget.Take(now, "s") {
-		failures++
-	}
-	g.Expect(speculative).To(gomega.Equal(5))
-	g.Expect(failures).To(gomega.Equal(5))
+	idle := retrybudget.NewBudget(ratio, windowLength)
+	g.Expect(idle.TakeSpeculative(now, "s")).To(gomega.BeFalse())
+	budget := newBusyBudget(now, 100)
+	g.Expect(takeAll(now, budget.TakeSpeculative)).To(gomega.Equal(5))
+	g.Expect(takeAll(now, budget.Take)).To(gomega.Equal(5))
 }
 
 // TestRejectedRequestsLeaveTheLastRetries guards against streams that broke off and find no
 // retry, as requests that have not run and can come back have used all of them.
 func TestRejectedRequestsLeaveTheLastRetries(t *testing.T) {
 	g := gomega.NewWithT(t)
-	budget := retrybudget.NewBudget(ratio, windowLength)
 	now := time.Now()
-	for range 200 {
-		budget.RecordRequest(now, "s")
-	}
-	rejected, lost := 0, 0
-	for budget.TakeRejected(now, "s") {
-		rejected++
-	}
-	for budget.Take(now, "s") {
-		lost++
-	}
-	g.Expect(rejected).To(gomega.Equal(15))
-	g.Expect(lost).To(gomega.Equal(5))
+	budget := newBusyBudget(now, 200)
+	g.Expect(takeAll(now, budget.TakeRejected)).To(gomega.Equal(15))
+	g.Expect(takeAll(now, budget.Take)).To(gomega.Equal(5))
 	g.Expect(budget.TakeRejected(now, "idle")).To(gomega.BeTrue(), "one retry is always allowed without an extra")
 }
 
--- a/router/internal/retrybudget/callers_test.go
+++ b/router/internal/retrybudget/callers_test.go
@@ -8,11 +8,17 @@
 	"github.com/onsi/gomega"
 )
 
+// threeRouters and eightRouters are small fleets with one service.
+var (
+	threeRouters = fleetSize{routers: 3, engines: 9, perSecond: 30, services: 1, extra: 20}
+	eightRouters = fleetSize{routers: 8, engines: 18, perSecond: 90, services: 1, extra: 58}
+)
+
 // callerSizes are the sizes of the simulations in which callers move. All engines fail
 // there, so that few are enough.
 var callerSizes = []fleetSize{
-	{routers: 3, engines: 9, perSecond: 30, services: 1, extra: 20},
-	{routers: 8, engines: 18, perSecond: 90, services: 1, extra: 58},
+	threeRouters,
+	eightRouters,
 	{routers: 80, engines: 140, perSecond: 1_880, services: 15, extra: 200},
 	{routers: 400, engines: 600, perSecond: 9_400, services: 15, extra: 200},
 }
--- a/router/internal/retrybudget/history_test.go
+++ b/router/internal/retrybudget/history_test.go
@@ -12,8 +12,8 @@
 
 // historySizes are the sizes of the fleets in random histories.
 var historySizes = []fleetSize{
-	{routers: 3, engines: 9, perSecond: 30, services: 1, extra: 20},
-	{routers: 8, engines: 18, perSecond: 90, services: 1, extra: 58},
+	threeRouters,
+	eightRouters,
 	{routers: 24, engines: 40, perSecond: 400, services: 3, extra: 80},
 }
 
