Record what a router hears of the servers, and what they say of leaving

Nothing is decided by it yet.

A router records when any server was last heard and which connections failed (package uplink), and once there is doubt asks three servers for their health on new connections, by the path that the plan names. Load reports say when their sender heard a server, so that a router's own links are told from servers that all stand still. Lines, gauges and the state dump show the outcome. The first response in which a server says that it leaves is logged, once a lifetime.

The test servers of package relay answer health checks now without counting them, as a slow response of theirs raises doubt.

--- a/router/internal/hop/hop.go
+++ b/router/internal/hop/hop.go
@@ -62,6 +62,9 @@
 	// Otherwise its body ends with the connection.
 	SelfDelimiting bool
 
+	// Reused says that the connection had carried another exchange before.
+	Reused bool
+
 	body           io.ReadCloser
 	conn           *conn
 	pool           *Pool
@@ -139,6 +142,7 @@
 		Status:         httpResponse.StatusCode,
 		Header:         httpResponse.Header,
 		SelfDelimiting: httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0,
+		Reused:         c.reused,
 		body:           httpResponse.Body,
 		conn:           c,
 		pool:           p,
--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -80,6 +80,10 @@
 	Proofs     func() Proofs
 	HearProofs func(Proofs)
 
+	// Reach returns what the router hears of the backend servers. If it is nil, nothing is
+	// said about that.
+	Reach func() Reach
+
 	// ReportError is called with failures. It must not block.
 	ReportError func(error)
 }
@@ -100,12 +104,14 @@
 	// mu guards the fields below. peers holds the time until which reports are
 	// sent to each address, heard when each router last sent one, and planAges
 	// the plan age that each router last reported. Routers without a plan are
-	// not in planAges. mostLive is the largest number of other routers that were
+	// not in planAges. reaches holds what each router last said of its links to the
+	// servers. mostLive is the largest number of other routers that were
 	// alive at the same time, and mostLiveSince when it last grew.
 	mu            sync.Mutex
 	peers         map[netip.AddrPort]time.Time
 	heard         map[netip.AddrPort]time.Time
 	planAges      map[netip.AddrPort]planAge
+	reaches       map[netip.AddrPort]peerReach
 	mostLive      int
 	mostLiveSince time.Time
 }
@@ -124,6 +130,7 @@
 		peers:    make(map[netip.AddrPort]time.Time),
 		heard:    make(map[netip.AddrPort]time.Time),
 		planAges: make(map[netip.AddrPort]planAge),
+		reaches:  make(map[netip.AddrPort]peerReach),
 	}
 }
 
@@ -183,7 +190,7 @@
 	age, hasPlan := b.config.PlanAge()
 	return b.send(conn, peers, message{
 		HasReport: true, Report: b.config.Balancer.LoadReport(now), Peers: samplePeers(peers),
-		PlanAge: age, HasPlan: hasPlan, Proofs: b.config.Proofs(),
+		PlanAge: age, HasPlan: hasPlan, Proofs: b.config.Proofs(), Reach: b.ownReach(),
 	})
 }
 
@@ -212,6 +219,7 @@
 			delete(b.peers, peer)
 			delete(b.planAges, peer)
 			delete(b.heard, peer)
+			delete(b.reaches, peer)
 		}
 	}
 	if live := len(b.live(now)); live > b.mostLive {
@@ -316,6 +324,7 @@
 	b.mu.Lock()
 	b.addPeer(sender, now.Add(peerTimeout))
 	b.heard[sender] = now
+	b.reaches[sender] = newPeerReach(now, m.Reach)
 	delete(b.planAges, sender)
 	if m.HasPlan {
 		b.planAges[sender] = planAge{receivedAt: now, age: m.PlanAge}
--- a/router/internal/loadreport/codec.go
+++ b/router/internal/loadreport/codec.go
@@ -26,6 +26,7 @@
 	HasPlan bool
 
 	Proofs Proofs
+	Reach  Reach
 }
 
 // wireMessage is the wire format of a message. Structs are encoded as arrays
@@ -45,8 +46,16 @@
 	Plan      wireProof
 	Servers   wireProof
 	HasReport bool
+
+	// UnheardMS is the time in milliseconds since the sender heard a server, or
+	// neverHeardMS.
+	UnheardMS  int64
+	OutOfReach bool
 }
 
+// neverHeardMS stands for the time since a router heard a server that has not heard any.
+const neverHeardMS = -1
+
 // wireProof is the wire format of a proof. The clock is in milliseconds.
 type wireProof struct {
 	_       struct{} `cbor:",toarray"`
@@ -105,6 +114,10 @@
 	if m.HasPlan {
 		w.PlanAgeMS = m.PlanAge.Milliseconds()
 	}
+	w.UnheardMS, w.OutOfReach = neverHeardMS, m.Reach.OutOfReach
+	if m.Reach.Heard {
+		w.UnheardMS = m.Reach.Unheard.Milliseconds()
+	}
 	w.Loads = encodeLoads(m.Report.Loads)
 	for _, d := range m.Report.Demands {
 		w.Demands = append(w.Demands, wireDemand{
@@ -140,6 +153,7 @@
 		return message{}, err
 	}
 	m := message{HasReport: w.HasReport, PlanAge: time.Duration(w.PlanAgeMS) * time.Millisecond, HasPlan: w.PlanAgeMS != noPlanAgeMS}
+	m.Reach = Reach{Heard: w.UnheardMS >= 0, Unheard: time.Duration(w.UnheardMS) * time.Millisecond, OutOfReach: w.OutOfReach}
 	m.Proofs = Proofs{Plan: decodeProof(w.Plan), Servers: decodeProof(w.Servers)}
 	m.Report.Loads = decodeLoads(w.Loads)
 	for _, d := range w.Demands {
--- /dev/null
+++ b/router/internal/uplink/monitor.go
@@ -0,0 +1,332 @@
+package uplink
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// State is what a router knows of its links to the backend servers.
+type State uint8
+
+const (
+	// Reached means that servers answer, or that nothing speaks against it.
+	Reached State = iota
+
+	// Suspected means that there is a reason for doubt, and that no server has answered since.
+	Suspected
+
+	// CutOff means that no server answers this router while other routers hear them.
+	CutOff
+
+	// Silent means that no router is known to hear any server, for longer than sound servers
+	// stand still.
+	Silent
+)
+
+// stateNames are the names of the states in logs, in the order of the constants.
+var stateNames = [...]string{"reached", "suspected", "cut off", "silent"}
+
+// String returns the name for logs.
+func (s State) String() string { return stateNames[s] }
+
+const (
+	// tickInterval is the interval at which the contacts are looked at.
+	tickInterval = 100 * time.Millisecond
+
+	// probeInterval is the time between two rounds of probes while there is doubt, probeCount
+	// the number of servers in a round, and probeTimeout how long a probe may take.
+	probeInterval = 250 * time.Millisecond
+	probeCount    = 3
+	probeTimeout  = time.Second
+
+	// verdictTime is how long probes are awaited before the router counts as cut off.
+	verdictTime = 250 * time.Millisecond
+
+	// silentTime is how long nothing may be heard from any server before requests are refused,
+	// if no other router is known to hear one either. Sound servers may stand still for 1.5 s.
+	silentTime = 2500 * time.Millisecond
+
+	// calmTime is the time after a doubt that was unfounded in which there is no new one.
+	calmTime = 500 * time.Millisecond
+
+	// maxTickGap is the time between two ticks above which the router itself stood still, so
+	// that nothing could be heard.
+	maxTickGap = 3 * tickInterval
+)
+
+// Change is a change of the state.
+type Change struct {
+	State State
+	Last  State
+
+	// Lasted is how long the last state lasted, Unheard the time since the last byte from any
+	// server, and Failing the number of servers whose connections failed.
+	Lasted  time.Duration
+	Unheard time.Duration
+	Failing int
+}
+
+// Config configures a monitor.
+type Config struct {
+	Contacts *Contacts
+
+	// Servers returns servers that may be probed.
+	Servers func() []string
+
+	// Probe makes an exchange with a server on a new connection, and returns nil if any
+	// response came.
+	Probe func(ctx context.Context, server string) error
+
+	// PeerHeardAfter reports whether another router has heard a server after a time.
+	PeerHeardAfter func(time.Time) bool
+
+	// Shuffle puts servers in a random order.
+	Shuffle func([]string)
+
+	// OnChange is told of changes, except for doubts that were unfounded. It must not block or
+	// call the monitor.
+	OnChange func(Change)
+}
+
+// Monitor tells whether the router reaches the backend servers. Its methods are safe for
+// concurrent use.
+type Monitor struct {
+	config Config
+
+	// mu guards the fields below. since is when the state began, and settled the last state
+	// that OnChange was told of, since settledSince. doubtAt is when the present doubt began.
+	// A doubt is over with the first answer to a probe that was sent since.
+	mu           sync.Mutex
+	state        State
+	since        time.Time
+	settled      State
+	settledSince time.Time
+	doubtAt      time.Time
+	probedAt     time.Time
+	calmUntil    time.Time
+	tickedAt     time.Time
+
+	// pending is the number of probes of the present doubt that have no outcome yet.
+	pending int
+
+	// changed is closed and replaced when the state changes.
+	changed chan struct{}
+
+	// wake receives a signal to look at the contacts before the next tick.
+	wake chan struct{}
+}
+
+// NewMonitor returns a monitor that counts the servers as reached. It does nothing before Run.
+func NewMonitor(now time.Time, config Config) *Monitor {
+	return &Monitor{
+		config: config, since: now, settledSince: now, tickedAt: now,
+		changed: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
+}
+
+// Run watches the links until the context ends.
+func (m *Monitor) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("watch links to servers: %w", ctx.Err())
+		case <-ticker.C:
+			m.tick(ctx, time.Now())
+		case <-m.wake:
+			m.look(ctx, time.Now())
+		}
+	}
+}
+
+// State returns the state.
+func (m *Monitor) State() State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+// CutOffFor returns for how long the router has been cut off, or zero if it is not.
+func (m *Monitor) CutOffFor(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state != CutOff {
+		return 0
+	}
+	return now.Sub(m.since)
+}
+
+// AwaitVerdict waits until a doubt is over or confirmed, at most for a time, and returns the
+// state. Without a doubt it returns at once.
+func (m *Monitor) AwaitVerdict(ctx context.Context, limit time.Duration) State {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		state, changed := m.state, m.changed
+		m.mu.Unlock()
+		if state != Suspected {
+			return state
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return state
+		case <-ctx.Done():
+			return state
+		}
+	}
+}
+
+// Doubt has the contacts looked at before the next tick, as an exchange has failed.
+func (m *Monitor) Doubt() {
+	select {
+	case m.wake <- struct{}{}:
+	default: // It is due already.
+	}
+}
+
+// tick looks at the contacts. A router that stood still begins with a doubt anew, as it could
+// hear nothing.
+func (m *Monitor) tick(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	if now.Sub(m.tickedAt) > maxTickGap && m.state == Suspected {
+		m.doubtAt, m.pending, m.probedAt = now, 0, time.Time{}
+	}
+	m.tickedAt = now
+	m.mu.Unlock()
+	m.look(ctx, now)
+}
+
+// look begins or ends a doubt by the contacts, and sends probes if they are due.
+func (m *Monitor) look(ctx context.Context, now time.Time) {
+	doubtAt, due := m.doubt(now, m.config.Contacts.suspicious(now))
+	if doubtAt.IsZero() {
+		return
+	}
+	if due {
+		m.probe(ctx, doubtAt)
+	}
+	m.judge(now)
+}
+
+// doubt begins or ends a doubt. It returns when the present one began, or the zero time, and
+// whether probes are due.
+func (m *Monitor) doubt(now time.Time, suspicious bool) (doubtAt time.Time, probe bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.state == Reached && suspicious && !now.Before(m.calmUntil):
+		m.doubtAt, m.pending, m.probedAt = now, 0, time.Time{}
+		m.change(now, Suspected)
+	case m.state == Suspected && !suspicious:
+		m.change(now, Reached)
+	}
+	if m.state == Reached {
+		return time.Time{}, false
+	}
+	probe = now.Sub(m.probedAt) >= probeInterval
+	if probe {
+		m.probedAt = now
+	}
+	return m.doubtAt, probe
+}
+
+// judge confirms a doubt.
+func (m *Monitor) judge(now time.Time) {
+	m.mu.Lock()
+	doubtAt, decided := m.doubtAt, now.Sub(m.doubtAt) >= verdictTime || m.pending == 0
+	m.mu.Unlock()
+	if !decided {
+		return
+	}
+	peerHeard := m.config.PeerHeardAfter(doubtAt)
+	heardAt, _ := m.config.Contacts.HeardAt()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.doubtAt != doubtAt {
+		return
+	}
+	switch {
+	case (m.state == Suspected || m.state == Silent) && peerHeard:
+		m.change(now, CutOff)
+	case m.state == Suspected && now.Sub(m.doubtAt) >= silentTime && !heardAt.After(m.doubtAt):
+		m.change(now, Silent)
+	case m.state == Silent && heardAt.After(m.since):
+		m.doubtAt = now
+		m.change(now, Suspected)
+	}
+}
+
+// probe asks some servers, first those whose connections did not fail.
+func (m *Monitor) probe(ctx context.Context, doubtAt time.Time) {
+	servers := m.config.Servers()
+	m.config.Shuffle(servers)
+	slices.SortStableFunc(servers, func(a, b string) int {
+		return boolOrder(m.config.Contacts.isFailing(a)) - boolOrder(m.config.Contacts.isFailing(b))
+	})
+	servers = servers[:min(len(servers), probeCount)]
+	m.mu.Lock()
+	m.pending += len(servers)
+	if len(servers) == 0 { // Without servers there is no link to doubt.
+		m.config.Contacts.clearFailures()
+		m.change(time.Now(), Reached)
+	}
+	m.mu.Unlock()
+	for _, server := range servers {
+		go m.probeOne(ctx, server, doubtAt)
+	}
+}
+
+// boolOrder returns the position of a value in an order of false before true.
+func boolOrder(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// probeOne asks one server.
+func (m *Monitor) probeOne(ctx context.Context, server string, doubtAt time.Time) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	err := m.config.Probe(probeCtx, server)
+	now := time.Now()
+	if err == nil {
+		m.config.Contacts.Heard(now)
+		m.config.Contacts.clearFailures()
+	}
+	m.mu.Lock()
+	if m.doubtAt != doubtAt {
+		m.mu.Unlock()
+		return // It belongs to an earlier doubt.
+	}
+	m.pending--
+	if err == nil && m.state != Reached {
+		m.calmUntil = now.Add(calmTime)
+		m.change(now, Reached)
+	}
+	failed := err != nil && m.pending == 0
+	m.mu.Unlock()
+	if failed {
+		m.judge(now)
+	}
+}
+
+// change sets the state. The caller holds m.mu.
+func (m *Monitor) change(now time.Time, next State) {
+	m.state, m.since = next, now
+	close(m.changed)
+	m.changed = make(chan struct{})
+	if next == Suspected || next == m.settled {
+		return
+	}
+	heardAt, _ := m.config.Contacts.HeardAt()
+	change := Change{State: next, Last: m.settled, Lasted: now.Sub(m.settledSince), Unheard: now.Sub(heardAt), Failing: m.config.Contacts.Failing()}
+	m.settled, m.settledSince = next, now
+	m.config.OnChange(change)
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -115,14 +115,17 @@
 		defer target.pool.Close()
 	}
 	target.usage.unanswered.Add(1)
+	contact := p.relay.contacts.Begin(time.Now(), target.ID, reservation.ExpectedLatency())
 	response, err := target.pool.Send(ctx, p.hopRequest(ctx, at, target))
 	target.usage.unanswered.Add(-1)
 	if err != nil {
+		p.relay.endContact(ctx, contact, err)
 		return p.handleSendError(ctx, reservation, target, err)
 	}
 	defer response.Close()
+	contact.Answered(time.Now(), !response.Reused)
 	p.countWritten()
-	p.observeLimit(target, response)
+	p.observeStatements(target, response)
 	target.usage.answering.Add(1)
 	defer target.usage.answering.Add(-1)
 	result, err := p.relayResponse(response, reservation, watch)
--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -114,6 +114,9 @@
 	// Signed says that the response carries a backend server's signature.
 	Signed bool
 
+	// Leaving says that the server stops to accept requests for good, whatever its entry says.
+	Leaving bool
+
 	// Limit is the rate of requests that the server asks for, if it names one.
 	Limit ServerLimit
 }
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -20,6 +20,7 @@
 			n.plans.Learn(p.Plan)
 			n.servers.Learn(p.Servers)
 		},
+		Reach: n.relay.reach,
 		ReportError: func(err error) {
 			n.log.RepeatedFailure(time.Now(), "load report", err).Msg("load report lost")
 		},
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"math"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
-	"snipetally.example/router/internal/hop"
 	"snipetally.example/router/internal/placement"
 	"snipetally.example/router/internal/sharedrate"
 )
@@ -151,17 +149,6 @@
 	}
 }
 
-// observeLimit records what a response says of the limit of its server. The response of
-// another server at the same address says nothing about this one.
-func (p *proxiedRequest) observeLimit(target *backendServer, response *hop.Response) {
-	info := p.relay.options.codec.ParseResponse(response.Status, response.Header)
-	if response.Status == http.StatusMisdirectedRequest || info.AttemptID != p.info.AttemptID {
-		return
-	}
-	p.relay.limits.Observe(target.usage.key, info.Limit.Named, info.Limit.PerSecond, p.sentAt)
-	p.relay.logNamedLimit(target, info.Limit)
-}
-
 // refusalPace spreads the times after which callers are asked to retry that found all
 // servers of a service limited, so that they don't all come back at the same moment.
 type refusalPace struct {
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -29,7 +29,8 @@
 	// is the time to the first byte of a response, in milliseconds. limited counts the
 	// attempts sent to servers that name a limit, unpermitted the choices that found no
 	// server with a permit left, keptBack the permits that were denied, and unanswered
-	// those for which no home answered.
+	// those for which no home answered. probes counts the health checks by which the links
+	// to the servers are judged.
 	requests    metrics.Counter
 	served      metrics.Counter
 	refused     metrics.Counter
@@ -44,6 +45,7 @@
 	unpermitted metrics.Counter
 	keptBack    metrics.Counter
 	unanswered  metrics.Counter
+	probes      metrics.Counter
 	stale       metrics.Counter
 	firstByte   metrics.Histogram
 
@@ -103,6 +105,7 @@
 		unpermitted: metrics.GetOrRegisterCounter("requests.limited", registry),
 		keptBack:    metrics.GetOrRegisterCounter("permits.denied", registry),
 		unanswered:  metrics.GetOrRegisterCounter("permits.unanswered", registry),
+		probes:      metrics.GetOrRegisterCounter("servers.probed", registry),
 		stale:       metrics.GetOrRegisterCounter("keys.stale", registry),
 		firstByte: metrics.GetOrRegisterHistogram("answers.first", registry,
 			metrics.NewUniformSample(histogramSamples)),
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -17,6 +17,7 @@
 	"snipetally.example/router/internal/loadreport"
 	"snipetally.example/router/internal/quarantine"
 	"snipetally.example/router/internal/sharedrate"
+	"snipetally.example/router/internal/uplink"
 )
 
 // Config configures a node.
@@ -121,6 +122,7 @@
 	broadcaster *loadreport.Broadcaster
 	quarantine  *quarantine.Exchange
 	limits      *sharedrate.Exchange
+	uplink      *uplink.Monitor
 
 	// callers is set by Run.
 	callers *callerListener
@@ -163,6 +165,7 @@
 	n.useBroadcaster()
 	n.useQuarantine()
 	n.useLimits()
+	n.useUplink()
 	if config.PeerAddress.IsValid() && config.DirectoryAddress.IsValid() {
 		n.useDirectory()
 	}
@@ -189,6 +192,7 @@
 	group.Add(func() error { return n.followSettings(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.plans.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return n.servers.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return n.uplink.Run(ctx) }, func(error) { cancel() })
 	if n.config.PeerAddress.IsValid() {
 		group.Add(func() error { return n.broadcaster.Run(ctx) }, func(error) { cancel() })
 	}
--- a/router/relay/plan.go
+++ b/router/relay/plan.go
@@ -104,6 +104,9 @@
 
 	// CacheTokens is the capacity of a model engine's KV cache in tokens.
 	CacheTokens int64
+
+	// HealthPath is the path of the servers' health checks, or empty.
+	HealthPath string
 }
 
 // IsEngine reports whether the service's servers are model engines.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -25,6 +25,7 @@
 	"snipetally.example/router/internal/quarantine"
 	"snipetally.example/router/internal/retrybudget"
 	"snipetally.example/router/internal/sharedrate"
+	"snipetally.example/router/internal/uplink"
 )
 
 // options configure a relay.
@@ -83,6 +84,11 @@
 	metrics     *requestMetrics
 	crashes     *crashDetector
 
+	// contacts record what exchanges show of the links to the servers, and uplink judges it.
+	// uplink is set before the relay serves requests.
+	contacts *uplink.Contacts
+	uplink   *uplink.Monitor
+
 	// quarantine is set before the relay serves requests.
 	quarantine *quarantine.Exchange
 
@@ -141,6 +147,9 @@
 	answering  atomic.Int64
 
 	limit limitUsage
+
+	// leavingSaid says that a response said that the server leaves.
+	leavingSaid atomic.Bool
 }
 
 // newServerUsage returns the usage of a lifetime of a server.
@@ -158,6 +167,7 @@
 		metrics:     newRequestMetrics(options.metrics),
 		departures:  newDepartures(),
 		crashes:     newCrashDetector(),
+		contacts:    uplink.NewContacts(time.Now()),
 
 		limitRefusals: newRefusalPace(),
 	}
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -59,8 +59,9 @@
 // registerGauges registers gauges that are computed when read: the version of
 // the plan and its age in milliseconds, both -1 without a plan, for how
 // many milliseconds a newer version has been known to exist, 0 if none is, the age of
-// the list of servers in milliseconds, -1 without one, the number of requests in
-// progress, that of log lines that were dropped, of the limits of servers in force, and those of
+// the list of servers in milliseconds, -1 without one, the time since any server was heard in
+// milliseconds, -1 before the first one, the state of the links to the servers, 0 if they
+// are reached, the number of requests in progress, that of log lines that were dropped, of the limits of servers in force, and those of
 // the prompt parts that crashes speak against and of the verdicts in force.
 func (n *Node) registerGauges() {
 	gauges := map[string]func() int64{
@@ -71,6 +72,8 @@
 		"requests.inflight": n.relay.inProgress,
 		"log.lost":          n.log.DroppedLines,
 		"limits.known":      n.limits.Count,
+		"servers.unheard":   n.relay.unheardMilliseconds,
+		"servers.reach":     func() int64 { return int64(n.uplink.State()) },
 		"quarantine.suspects": func() int64 {
 			suspects, _ := n.quarantine.Ledger().Counts()
 			return int64(suspects)
@@ -87,6 +90,15 @@
 	}
 }
 
+// unheardMilliseconds returns the time since any server was heard, or -1 before the first one.
+func (r *relay) unheardMilliseconds() int64 {
+	reach := r.reach()
+	if !reach.Heard {
+		return -1
+	}
+	return reach.Unheard.Milliseconds()
+}
+
 // planVersion returns the version of the plan in force, or -1 without one.
 func (r *relay) planVersion() int64 {
 	if index := r.index.Load(); index != nil {
@@ -115,6 +127,11 @@
 	Ready    bool
 	Inflight int64
 
+	// Reach is the state of the links to the servers, and Unheard the time in nanoseconds
+	// since any of them was heard, or since the start before the first one.
+	Reach   string
+	Unheard time.Duration
+
 	ServersAge time.Duration
 	Servers    []placement.ServerState
 
@@ -140,6 +157,9 @@
 		Ready:    n.relay.ready(),
 		Inflight: n.relay.inProgress(),
 
+		Reach:   n.uplink.State().String(),
+		Unheard: n.relay.reach().Unheard,
+
 		ServersAge: n.relay.serversAge(),
 		Servers:    n.relay.balancer.ServerStates(time.Now()),
 
--- a/router/relay/testnode_test.go
+++ b/router/relay/testnode_test.go
@@ -29,6 +29,9 @@
 // machine.
 const maxRevocationDelay = 10 * time.Minute
 
+// healthPath is the path of health checks in plans that name none.
+const healthPath = "/"
+
 // gracePeriod bounds the stop of a node.
 const gracePeriod = 3 * time.Second
 
@@ -135,6 +138,9 @@
 	for i, handler := range handlers {
 		b := &backend{id: fmt.Sprint("server-", i)}
 		b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if req.URL.Path == healthPath {
+				return // A health check is no request.
+			}
 			b.arrived.Add(1)
 			w.Header().Set(attemptHeader, req.Header.Get(attemptHeader))
 			handler(w, req)
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -150,6 +150,9 @@
 func (r watchedReader) Read(b []byte) (int, error) {
 	r.watch.await()
 	n, err := r.response.Read(b)
+	if n > 0 {
+		r.watch.request.relay.contacts.Heard(time.Now())
+	}
 	r.watch.received(n)
 	return n, err //nolint:wrapcheck // The caller sees what the response returns.
 }
