Send nothing to servers that say in a response that they leave

Callers' requests reached backend servers that had said in a response that they leave, for as long as their entries did not change. Cause: no part of the code read it. Class: what a server says of itself is passed on and not heeded, as limits were.

Change: the statement about a lifetime of a server that routers share since limits are heeded says now that it leaves, too; it is the same message, the same synchronization at a start, no further mechanism. The server counts as draining from then on, which each send checks last (BeforeWrite): first attempts, repeats, requests that wait, resumed streams, migrations. It ends with the lifetime (ID and start), so that a restart under the same ID is used. Each router repeats such statements to another one each second for a minute, as an announcement may be lost.

Tests changed: TestMalformedMessagesAreIgnored has the new field in its bytes, as it would otherwise pass for the wrong length. TestOutdatedEntry... did not wait for the removal that it names, as two lines of it were there already; it does now, and the line about an outdated entry comes once for each change of an entry instead of with each list, which would flood the log for servers that never change theirs.

--- a/router/internal/sharedrate/announce.go
+++ b/router/internal/sharedrate/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -12,6 +13,11 @@
 	// number of routers, from announceDelay, by announceDelayStep for each.
 	announceDelay     = 10 * time.Millisecond
 	announceDelayStep = 500 * time.Microsecond
+
+	// repeatInterval is the interval at which a router tells another one, at random, which
+	// servers leave, as it may have missed the announcement. They are named for repeatTime.
+	repeatInterval = time.Second
+	repeatTime     = time.Minute
 )
 
 // announceLater announces a change to all routers soon. The caller holds e.mu.
@@ -25,6 +31,24 @@
 	time.AfterFunc(time.Duration(rand.Int64N(int64(longest))), e.announce)
 }
 
+// repeatLeaving tells a random router which servers leave.
+func (e *Exchange) repeatLeaving(now time.Duration) {
+	e.mu.Lock()
+	var leaving []keyedStatement
+	for key, s := range e.statements {
+		if s.Leaving && now-s.At < repeatTime && len(leaving) < maxStatementsPerMessage {
+			leaving = append(leaving, keyedStatement{Key: key, Statement: s})
+		}
+	}
+	others := slices.Clone(e.view.members())
+	e.mu.Unlock()
+	if len(leaving) == 0 || len(others) == 0 {
+		return
+	}
+	to := others[rand.IntN(len(others))]
+	e.sendAll(message{sentAt: now, Statements: leaving}, []netip.AddrPort{to})
+}
+
 // announce sends the changes that no other router has announced meanwhile.
 func (e *Exchange) announce() {
 	e.mu.Lock()
--- a/router/internal/sharedrate/codec.go
+++ b/router/internal/sharedrate/codec.go
@@ -85,6 +85,7 @@
 	Limited   bool
 	PerSecond float64
 	AgeUS     int64
+	Leaving   bool
 }
 
 // wireAsk is the wire format of a question. The level is in 255ths.
@@ -173,7 +174,9 @@
 
 // encodeStatement returns the wire format of a statement at a time.
 func encodeStatement(now time.Duration, key Key, s Statement) wireStatement {
-	return wireStatement{Key: uint64(key), Limited: s.Limited, PerSecond: s.PerSecond, AgeUS: max(now-s.At, 0).Microseconds()}
+	return wireStatement{
+		Key: uint64(key), Limited: s.Limited, PerSecond: s.PerSecond, AgeUS: max(now-s.At, 0).Microseconds(), Leaving: s.Leaving,
+	}
 }
 
 // decodeStatement is the inverse of encodeStatement.
@@ -181,7 +184,9 @@
 	if !(w.PerSecond >= 0) || math.IsInf(w.PerSecond, 0) || w.AgeUS < 0 || w.AgeUS > math.MaxInt64/int64(time.Microsecond) {
 		return Statement{}, errors.NotValidf("limit %v of age %d", w.PerSecond, w.AgeUS)
 	}
-	return Statement{Limited: w.Limited, PerSecond: w.PerSecond, At: now - time.Duration(w.AgeUS)*time.Microsecond}, nil
+	return Statement{
+		Limited: w.Limited, PerSecond: w.PerSecond, Leaving: w.Leaving, At: now - time.Duration(w.AgeUS)*time.Microsecond,
+	}, nil
 }
 
 // encodeLevel returns the wire format of a level.
--- a/router/internal/sharedrate/exchange.go
+++ b/router/internal/sharedrate/exchange.go
@@ -52,6 +52,10 @@
 	// It must not block.
 	OnChange func(key Key, statement Statement, teller netip.AddrPort)
 
+	// OnLeaving is told when another router, the teller, says that a server leaves. It must not
+	// block.
+	OnLeaving func(key Key, teller netip.AddrPort)
+
 	// ReportError is called with failures. It must not block.
 	ReportError func(error)
 
@@ -143,8 +147,13 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	pruneAt := e.config.Clock() + pruneInterval
+	repeatAt := e.config.Clock() + repeatInterval
 	for {
 		now := e.refresh()
+		if now >= repeatAt {
+			repeatAt = now + repeatInterval
+			e.repeatLeaving(now)
+		}
 		if !e.Synced() {
 			e.askForStatements(now)
 		}
@@ -199,29 +208,30 @@
 	e.limited.Store(n)
 }
 
-// Observe records what a response says of a rate. If it names no limit, that holds from
-// the time on the clock at which its request was sent: a server that named one since then
-// may have written the response before.
-func (e *Exchange) Observe(key Key, limited bool, perSecond float64, sentAt time.Duration) {
-	if !limited && e.limited.Load() == 0 {
+// Observe records what a response says, apart from the time of the statement, which is set here.
+// If it names no limit, that holds from the time on the clock at which its request was sent: a
+// server that named one since then may have written the response before.
+func (e *Exchange) Observe(key Key, said Statement, sentAt time.Duration) {
+	if !said.Limited && !said.Leaving && e.limited.Load() == 0 {
 		return
 	}
 	now := e.config.Clock()
-	next := Statement{Limited: limited, PerSecond: perSecond, At: now}
-	if !limited {
+	next := said
+	next.At = now
+	if !said.Limited {
 		next.At = sentAt
 	}
 	e.mu.Lock()
 	known := e.statements[key]
 	changed := e.statements.apply(key, next)
 	home := e.view.home(key)
-	if changed {
+	if changed.any() {
 		e.countLimited()
 		e.announceLater(key)
 	}
 	e.mu.Unlock()
-	difference := max(perSecond-known.PerSecond, known.PerSecond-perSecond)
-	if limited && (changed || difference > minValueChange*known.PerSecond) {
+	difference := max(said.PerSecond-known.PerSecond, known.PerSecond-said.PerSecond)
+	if said.Limited && (changed.limit || difference > minValueChange*known.PerSecond) {
 		e.sendAll(message{sentAt: now, Statements: []keyedStatement{{Key: key, Statement: next}}}, []netip.AddrPort{home})
 	}
 }
@@ -263,22 +273,29 @@
 	if len(heard) == 0 {
 		return
 	}
-	var changes []keyedStatement
+	var limits, leaving []keyedStatement
 	e.mu.Lock()
 	for _, s := range heard {
-		if e.statements.apply(s.Key, s.Statement) {
-			changes = append(changes, s)
+		changed := e.statements.apply(s.Key, s.Statement)
+		if changed.limit {
+			limits = append(limits, s)
 		}
-		if e.statements[s.Key].Limited == s.Limited {
+		if changed.leaving {
+			leaving = append(leaving, s)
+		}
+		if known := e.statements[s.Key]; known.Limited == s.Limited && known.Leaving == s.Leaving {
 			delete(e.pending, s.Key)
 		}
 	}
-	if len(changes) > 0 {
+	if len(limits) > 0 {
 		e.countLimited()
 	}
 	e.mu.Unlock()
-	for _, c := range changes {
-		e.config.OnChange(c.Key, c.Statement, teller)
+	for _, s := range limits {
+		e.config.OnChange(s.Key, s.Statement, teller)
+	}
+	for _, s := range leaving {
+		e.config.OnLeaving(s.Key, teller)
 	}
 }
 
--- a/router/internal/sharedrate/fleet_test.go
+++ b/router/internal/sharedrate/fleet_test.go
@@ -68,6 +68,9 @@
 	resumed     chan struct{}
 	suspensions int
 
+	// leaving are the servers that the present process knows to leave.
+	leaving map[sharedrate.Key]bool
+
 	exchange *sharedrate.Exchange
 	conn     *fakeConn
 	kill     context.CancelFunc
@@ -213,11 +216,12 @@
 		Clock:       func() time.Duration { return time.Since(r.fleet.start) },
 		SettleTime:  func() time.Duration { return 2 * r.fleet.liveTime() },
 		OnChange:    func(sharedrate.Key, sharedrate.Statement, netip.AddrPort) {},
+		OnLeaving:   r.hearLeaving,
 		ReportError: func(error) {},
 		Listen:      func(context.Context, netip.AddrPort) (net.PacketConn, error) { return conn, nil },
 	})
 	r.mu.Lock()
-	r.exchange, r.conn, r.kill = exchange, conn, cancel
+	r.exchange, r.conn, r.kill, r.leaving = exchange, conn, cancel, make(map[sharedrate.Key]bool)
 	r.mu.Unlock()
 	r.fleet.senders.Go(func() { _ = exchange.Run(ctx) })
 }
@@ -342,5 +346,5 @@
 	time.Sleep(time.Duration(f.float() * float64(60*time.Millisecond)))
 	f.server.tell(exchange, limited)
 	<-r.whenRunning()
-	exchange.Observe(serverKey, limited, limit, sentAt)
+	exchange.Observe(serverKey, sharedrate.Statement{Limited: limited, PerSecond: limit}, sentAt)
 }
--- a/router/internal/sharedrate/scenario_test.go
+++ b/router/internal/sharedrate/scenario_test.go
@@ -93,6 +93,7 @@
 		Clock:       func() time.Duration { return *now },
 		Members:     func(time.Time) []netip.AddrPort { return nil },
 		SettleTime:  func() time.Duration { return time.Second },
+		OnLeaving:   func(sharedrate.Key, netip.AddrPort) {},
 		ReportError: func(error) {},
 	})
 }
@@ -102,7 +103,7 @@
 	g := gomega.NewWithT(t)
 	now := time.Duration(0)
 	exchange := newLoneExchange(&now)
-	exchange.Observe(serverKey, true, 1, 0)
+	exchange.Observe(serverKey, sharedrate.Statement{Limited: true, PerSecond: 1}, 0)
 	permit, _, ok := exchange.Acquire(t.Context(), serverKey, 0)
 	for !ok {
 		now += 100 * time.Millisecond
@@ -175,7 +176,7 @@
 	g := gomega.NewWithT(t)
 	now := time.Duration(0)
 	exchange := newLoneExchange(&now)
-	exchange.Observe(serverKey, true, 5, 0)
+	exchange.Observe(serverKey, sharedrate.Statement{Limited: true, PerSecond: 5}, 0)
 	permits := make(map[sharedrate.Level]int)
 	random := rand.New(rand.NewPCG(1, 1))
 	for now < 60*time.Second {
@@ -199,7 +200,7 @@
 		defer f.close()
 		time.Sleep(5 * time.Second)
 		for _, r := range f.routers {
-			r.process().Observe(serverKey, true, 100, time.Since(f.start))
+			r.process().Observe(serverKey, sharedrate.Statement{Limited: true, PerSecond: 100}, time.Since(f.start))
 		}
 		_, _, _ = f.routers[0].process().Acquire(t.Context(), serverKey, 0) // The bucket begins empty.
 		time.Sleep(time.Second)
@@ -229,9 +230,9 @@
 			time.Sleep(time.Millisecond)
 		}
 		for _, text := range []string{
-			"\x85\x81\x84\x05\xf5\xfb\x7f\xf8\x00\x00\x00\x00\x00\x00\x00\xf6\xf6\x00\x00", // NaN
-			"\x85\x81\x84\x05\xf5\xfb\xbf\xf0\x00\x00\x00\x00\x00\x00\x00\xf6\xf6\x00\x00", // -1
-			"\x85\x81\x84\x05\xf5\xfb\x3f\xf0\x00\x00\x00\x00\x00\x00\x20\xf6\xf6\x00\x00", // in the future
+			"\x85\x81\x85\x05\xf5\xfb\x7f\xf8\x00\x00\x00\x00\x00\x00\x00\xf4\xf6\xf6\x00\x00", // NaN
+			"\x85\x81\x85\x05\xf5\xfb\xbf\xf0\x00\x00\x00\x00\x00\x00\x00\xf4\xf6\xf6\x00\x00", // -1
+			"\x85\x81\x85\x05\xf5\xfb\x3f\xf0\x00\x00\x00\x00\x00\x00\x20\xf4\xf6\xf6\x00\x00", // in the future
 		} {
 			f.routers[0].deliver(1, datagram{from: f.routers[1].address, data: []byte(text)})
 		}
@@ -270,7 +271,7 @@
 		}
 		return n
 	}
-	exchange.Observe(key, true, limit, 0)
+	exchange.Observe(key, sharedrate.Statement{Limited: true, PerSecond: limit}, 0)
 	g.Expect(permits(settle)).To(gomega.BeZero(), "the other router is the home")
 	members = nil
 	// A router that was heard not long ago may still give its part, a half.
--- a/router/internal/sharedrate/sharedrate.go
+++ b/router/internal/sharedrate/sharedrate.go
@@ -10,9 +10,10 @@
 // heard not long ago, which may be on the other side of a partition. Whoever does not
 // reach the home has no permit.
 //
-// What a server says of its limit is a Statement. All routers learn from the first one
+// What a server says of itself is a Statement: the limit that it names, and that it leaves. All routers learn from the first one
 // to hear it whether a limit is in force; the value matters to the home only. Statements
-// carry their age instead of a time, so that clocks need not agree.
+// carry their age instead of a time, so that clocks need not agree. That a server leaves
+// holds to the end of its lifetime, whatever is said later.
 package sharedrate
 
 import (
@@ -22,14 +23,17 @@
 // Key names a rate. For servers it identifies one lifetime of a server.
 type Key uint64
 
-// Statement is what was last said of a rate.
+// Statement is what was last said of a rate, or of the server that it is the rate of.
 type Statement struct {
 	// Limited says that a limit is in force, and PerSecond is its value.
 	Limited   bool
 	PerSecond float64
 
-	// At is the time on the router's clock from which on the statement holds. Of two
-	// statements the one with the later time is the newer one.
+	// Leaving says that the server stops to accept requests for good.
+	Leaving bool
+
+	// At is the time on the router's clock from which on the limit holds. Of two statements
+	// the one with the later time is the newer one.
 	At time.Duration
 }
 
--- a/router/internal/sharedrate/statements.go
+++ b/router/internal/sharedrate/statements.go
@@ -8,21 +8,30 @@
 // statements holds the newest statement on each rate. It belongs to the exchange's mutex.
 type statements map[Key]Statement
 
-// apply takes over a statement if it is newer than the known one. It reports whether the
-// limit began or ended by it.
-func (s statements) apply(key Key, next Statement) (changed bool) {
+// news is what is new in a statement: that the limit began or ended, and that the server
+// leaves.
+type news struct{ limit, leaving bool }
+
+// any reports whether anything is new.
+func (n news) any() bool { return n.limit || n.leaving }
+
+// apply takes over what is new in a statement: the limit if it is newer than the known one, and
+// that the server leaves in any case.
+func (s statements) apply(key Key, next Statement) news {
 	known, ok := s[key]
-	if ok && next.At <= known.At {
-		return false
-	}
-	if !ok && !next.Limited {
-		return false // Nothing is the same as no limit.
+	if !ok && !next.Limited && !next.Leaving {
+		return news{} // Nothing is the same as no limit.
 	}
 	if !ok && len(s) >= maxStatements {
 		s.dropOldest()
 	}
-	s[key] = next
-	return known.Limited != next.Limited
+	merged := known
+	if !ok || next.At > known.At {
+		merged = next
+	}
+	merged.Leaving = known.Leaving || next.Leaving
+	s[key] = merged
+	return news{limit: known.Limited != merged.Limited, leaving: !known.Leaving && merged.Leaving}
 }
 
 // dropOldest drops the statement that was not repeated for the longest time.
--- a/router/internal/sharedrate/sync.go
+++ b/router/internal/sharedrate/sync.go
@@ -37,7 +37,7 @@
 	now, most := e.config.Clock(), e.view.most
 	all := make([]keyedStatement, 0, len(e.statements))
 	for key, s := range e.statements {
-		if s.Limited {
+		if s.Limited || s.Leaving {
 			all = append(all, keyedStatement{Key: key, Statement: s})
 		}
 	}
--- a/router/internal/sharedrate/traffic_test.go
+++ b/router/internal/sharedrate/traffic_test.go
@@ -94,7 +94,7 @@
 func (f *fleet) nameManyLimits() {
 	for i, r := range f.routers {
 		for n := range manyPerRouter {
-			r.process().Observe(sharedrate.Key(manyKeys+i*manyPerRouter+n), true, manyLimit, time.Since(f.start))
+			r.process().Observe(sharedrate.Key(manyKeys+i*manyPerRouter+n), sharedrate.Statement{Limited: true, PerSecond: manyLimit}, time.Since(f.start))
 		}
 	}
 }
@@ -106,7 +106,7 @@
 		time.Sleep(time.Duration(expFloat(f) / manyRate * float64(time.Second)))
 		key := sharedrate.Key(manyKeys + int(f.float()*float64(len(f.routers)*manyPerRouter)))
 		if _, _, ok := r.process().Acquire(f.done, key, 0); ok {
-			r.process().Observe(key, true, manyLimit, time.Since(f.start))
+			r.process().Observe(key, sharedrate.Statement{Limited: true, PerSecond: manyLimit}, time.Since(f.start))
 		}
 	}
 }
--- a/router/relay/fakes_test.go
+++ b/router/relay/fakes_test.go
@@ -28,6 +28,7 @@
 	kvCopyHeader      = "Kv-Copy"
 	partsHeader       = "Parts"
 	limitHeader       = "Limit"
+	leavingHeader     = "Leaving"
 )
 
 // codec maps the headers above.
@@ -69,6 +70,7 @@
 	return relay.ResponseInfo{
 		AttemptID: h.Get(attemptHeader), Signed: h.Get(signedHeader) != "",
 		NotExecuted: h.Get(notExecutedHeader) != "" || status == http.StatusMisdirectedRequest,
+		Leaving:     h.Get(leavingHeader) != "",
 		Limit:       relay.ServerLimit{Named: err == nil, PerSecond: rate},
 	}
 }
--- a/router/relay/leaving_test.go
+++ b/router/relay/leaving_test.go
@@ -43,7 +43,7 @@
 	}
 	g.Expect(backends[1].arrived.Load()).To(gomega.Equal(before))
 	r.servers.set(stays, feed.Change[relay.Server]{Key: backends[1].id, Removed: true})
-	r.waitUntil(t, r.logged("backend server removed", 1))
+	r.waitUntil(t, r.logged("backend server removed", 3)) // The first two were the lifetimes before.
 	r.servers.set(stays, row(1, false, startedAt))
 	r.waitUntil(t, r.logged("outdated entry of leaving server", 2))
 	for range 50 {
--- a/router/relay/limit_log.go
+++ b/router/relay/limit_log.go
@@ -123,11 +123,8 @@
 		message = "end of server limit heard of"
 	}
 	event := r.options.log.Request(time.Now(), nil)
-	for _, s := range *r.servers.Load() {
-		if s.usage.key == key {
-			event = event.Str("server", s.ID).Str("service", s.Service)
-			break
-		}
+	if s := r.serverByKey(key); s != nil {
+		event = event.Str("server", s.ID).Str("service", s.Service)
 	}
 	event.Float64("limit", statement.PerSecond).Dur("heard", r.options.clock()-statement.At).
 		Str("teller", teller.Addr().String()).Msg(message)
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -48,6 +48,7 @@
 		// to find out that it is alone.
 		SettleTime: func() time.Duration { return 2 * n.broadcaster.LiveTime() },
 		OnChange:   n.relay.logHeardLimit,
+		OnLeaving:  n.relay.hearLeaving,
 		ReportError: func(err error) {
 			n.log.RepeatedFailure(time.Now(), "limits", err).Msg("server limit not exchanged")
 		},
--- a/router/relay/quarantine.go
+++ b/router/relay/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"snipetally.example/router/internal/quarantine"
+	"snipetally.example/router/internal/sharedrate"
 )
 
 const (
@@ -161,6 +162,9 @@
 	return xxhash.Sum64String(s.ID + "\x00" + strconv.FormatInt(s.StartedAt.UnixMilli(), 10))
 }
 
+// key identifies a lifetime of a server in what routers tell each other of it.
+func (s Server) key() sharedrate.Key { return sharedrate.Key(s.engineHash()) }
+
 // withPort returns addresses with another port. It changes the slice.
 func withPort(addresses []netip.AddrPort, port uint16) []netip.AddrPort {
 	for i, a := range addresses {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -126,6 +126,11 @@
 	// installMu serializes changes of index and servers. It guards departures.
 	installMu  sync.Mutex
 	departures *departures
+
+	// leavingMu guards saidLeaving, the lifetimes of servers that are about to count as
+	// leaving, as a response says so. It is a leaf.
+	leavingMu   sync.Mutex
+	saidLeaving map[sharedrate.Key]struct{}
 }
 
 // backendServer is a backend server with the pool of connections to it.
@@ -133,6 +138,10 @@
 	Server
 	pool *hop.Pool
 
+	// entryDraining says that the server's entry says that it drains. Draining may be known
+	// otherwise.
+	entryDraining bool
+
 	// usage outlives changes of the server's entry.
 	usage *serverUsage
 }
@@ -154,7 +163,7 @@
 
 // newServerUsage returns the usage of a lifetime of a server.
 func newServerUsage(s Server) *serverUsage {
-	return &serverUsage{key: sharedrate.Key(s.engineHash())}
+	return &serverUsage{key: s.key()}
 }
 
 // newRelay returns a relay without a plan and servers.
@@ -204,17 +213,21 @@
 func (r *relay) installServers(servers map[string]Server) {
 	r.installMu.Lock()
 	defer r.installMu.Unlock()
-	for _, id := range r.departures.correct(r.options.clock(), servers) {
-		r.options.log.StateChange().Str("server", id).Msg("outdated entry of leaving server")
-	}
 	old := *r.servers.Load()
+	outdated := r.departures.correct(r.options.clock(), servers)
+	for id := range outdated {
+		if b, ok := old[id]; !ok || b.entryDraining || !b.sameLifetime(servers[id]) {
+			r.options.log.StateChange().Str("server", id).Msg("outdated entry of leaving server")
+		}
+	}
 	next := make(map[string]*backendServer, len(servers))
 	for id, s := range servers {
 		b, ok := old[id]
 		if !ok || !b.sameLifetime(s) {
 			b = &backendServer{pool: hop.NewPool(s.Address), usage: newServerUsage(s)}
 		}
-		next[id] = &backendServer{Server: s, pool: b.pool, usage: b.usage}
+		_, corrected := outdated[id]
+		next[id] = &backendServer{Server: s, pool: b.pool, entryDraining: s.Draining && !corrected, usage: b.usage}
 		r.handleServerUpdate(old[id], s)
 	}
 	for id, b := range old {
--- a/router/relay/statements.go
+++ b/router/relay/statements.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"maps"
 	"net/http"
+	"net/netip"
+	"time"
 
 	"snipetally.example/router/internal/hop"
+	"snipetally.example/router/internal/sharedrate"
 )
 
 // observeStatements records what a response says of its server. The response of another server
@@ -13,9 +17,70 @@
 	if response.Status == http.StatusMisdirectedRequest || info.AttemptID != p.info.AttemptID {
 		return
 	}
-	p.relay.limits.Observe(target.usage.key, info.Limit.Named, info.Limit.PerSecond, p.sentAt)
+	said := sharedrate.Statement{Limited: info.Limit.Named, PerSecond: info.Limit.PerSecond, Leaving: info.Leaving}
+	p.relay.limits.Observe(target.usage.key, said, p.sentAt)
 	p.relay.logNamedLimit(target, info.Limit)
 	if info.Leaving && target.usage.leavingSaid.CompareAndSwap(false, true) {
 		p.relay.logLeaving(target).Str("request", p.info.AttemptID).Msg("backend server says in a response that it leaves")
+		p.relay.leavingLater(target.usage.key)
 	}
 }
+
+// hearLeaving records that another router says that a server leaves. The key teller of the line
+// holds that router.
+func (r *relay) hearLeaving(key sharedrate.Key, teller netip.AddrPort) {
+	event := r.options.log.Request(time.Now(), nil)
+	if s := r.serverByKey(key); s != nil {
+		event = event.Str("server", s.ID).Str("service", s.Service)
+	}
+	event.Str("teller", teller.Addr().String()).Msg("backend server heard of to leave")
+	r.leavingLater(key)
+}
+
+// serverByKey returns the listed server of a lifetime, or nil.
+func (r *relay) serverByKey(key sharedrate.Key) *backendServer {
+	for _, s := range *r.servers.Load() {
+		if s.usage.key == key {
+			return s
+		}
+	}
+	return nil
+}
+
+// leavingBatchDelay is the time for which servers that say that they leave are collected, as
+// many may say so at once and each change copies the list of servers.
+const leavingBatchDelay = 10 * time.Millisecond
+
+// leavingLater makes a lifetime of a server count as leaving soon.
+func (r *relay) leavingLater(key sharedrate.Key) {
+	r.leavingMu.Lock()
+	defer r.leavingMu.Unlock()
+	if r.saidLeaving == nil {
+		r.saidLeaving = make(map[sharedrate.Key]struct{})
+		time.AfterFunc(leavingBatchDelay, r.installLeaving)
+	}
+	r.saidLeaving[key] = struct{}{}
+}
+
+// installLeaving marks the servers as draining that say in responses that they leave.
+func (r *relay) installLeaving() {
+	r.leavingMu.Lock()
+	keys := r.saidLeaving
+	r.saidLeaving = nil
+	r.leavingMu.Unlock()
+	r.installMu.Lock()
+	defer r.installMu.Unlock()
+	r.departures.announce(r.options.clock(), keys)
+	next := maps.Clone(*r.servers.Load())
+	for id, s := range next {
+		if _, leaving := keys[s.usage.key]; !leaving || s.Draining {
+			continue
+		}
+		marked := *s
+		marked.Draining = true
+		r.handleServerUpdate(s, marked.Server)
+		next[id] = &marked
+	}
+	r.servers.Store(&next)
+	r.updateBalancer()
+}
