Hand requests over to routers that reach the servers

Callers of routers that had lost their links to all backend servers got 502 (reset), 504 after all their time (hang) or 503 (refused new connections) for nearly every request, while other routers served all. Cause: no router learned that it, and not the servers, was cut off, and a request had no other way. Class: a state of the outside, here of the router's own links, that no part hears of.

One router takes a request, none hands it on; what was not written to it may be offered to another one. It counts once: in the request's own router. The router that is cut off is not ready meanwhile, so that callers go to others where the platform has any. A begun attempt at a silent server is replaced, where it may be, by one elsewhere.

--- a/router/internal/hop/conn.go
+++ b/router/internal/hop/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"syscall"
@@ -59,9 +60,9 @@
 	expires time.Time
 }
 
-// dial opens a connection that detects an unresponsive peer with keep-alive
+// dial opens a connection from a local address, or any if that is invalid, that detects an unresponsive peer with keep-alive
 // probes and a limit on unacknowledged bytes.
-func dial(ctx context.Context, address string) (*conn, error) {
+func dial(ctx context.Context, local netip.Addr, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dialer := &net.Dialer{
@@ -73,6 +74,9 @@
 			Count:    keepAliveCount,
 		},
 	}
+	if local.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
 	inner, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
--- a/router/internal/hop/hop.go
+++ b/router/internal/hop/hop.go
@@ -86,7 +86,7 @@
 			return response, err
 		}
 	}
-	c, err := dial(ctx, p.address)
+	c, err := dial(ctx, p.local, p.address)
 	if err != nil {
 		return nil, &link.ExchangeError{Err: err}
 	}
--- a/router/internal/hop/pool.go
+++ b/router/internal/hop/pool.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -10,6 +11,9 @@
 type Pool struct {
 	address string
 
+	// local is the address that connections come from, or invalid for any.
+	local netip.Addr
+
 	// mu guards the fields below.
 	mu     sync.Mutex
 	idle   []*conn
@@ -21,6 +25,12 @@
 	return &Pool{address: address}
 }
 
+// NewPoolFrom returns an empty pool for connections to the address that come from a local
+// address.
+func NewPoolFrom(local netip.Addr, address string) *Pool {
+	return &Pool{address: address, local: local}
+}
+
 // get returns the most recently used idle connection, or nil. Connections that
 // have expired or on which something has arrived are closed.
 func (p *Pool) get(now time.Time) *conn {
--- a/router/internal/uplink/monitor.go
+++ b/router/internal/uplink/monitor.go
@@ -39,7 +39,7 @@
 	// probeInterval is the time between two rounds of probes while there is doubt, probeCount
 	// the number of servers in a round, and probeTimeout how long a probe may take.
 	probeInterval = 250 * time.Millisecond
-	probeCount    = 3
+	probeCount    = 4
 	probeTimeout  = time.Second
 
 	// verdictTime is how long probes are awaited before the router counts as cut off.
@@ -160,6 +160,14 @@
 	return now.Sub(m.since)
 }
 
+// HeardSinceChange reports whether any server was heard since the state began.
+func (m *Monitor) HeardSinceChange() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heardAt, heard := m.config.Contacts.HeardAt()
+	return heard && heardAt.After(m.since)
+}
+
 // AwaitVerdict waits until a doubt is over or confirmed, at most for a time, and returns the
 // state. Without a doubt it returns at once.
 func (m *Monitor) AwaitVerdict(ctx context.Context, limit time.Duration) State {
--- /dev/null
+++ b/router/internal/uplink/monitor_test.go
@@ -0,0 +1,185 @@
+package uplink_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"snipetally.example/coordination/bubble"
+	"snipetally.example/coordination/seeds"
+	"snipetally.example/router/internal/uplink"
+)
+
+func init() { seeds.Fix() }
+
+const (
+	// known is the time in which a router has to know that it is cut off, or no longer.
+	known = time.Second
+
+	// usualRate is the number of requests a second of a router.
+	usualRate = 10
+)
+
+// Guards against routers that do not learn that they, and not the servers, are cut off, or learn
+// it late, and against others that take themselves for cut off.
+func TestRoutersThatAreCutOffKnowItWithinASecond(t *testing.T) {
+	states := map[string]linkState{"hang": linkHangs, "reset": linkResets, "refuse": linkRefuses}
+	for _, routers := range []int{3, 8, 80, 400} {
+		for name, state := range states {
+			t.Run(fmt.Sprintf("%d routers %s", routers, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := gomega.NewWithT(t)
+					f := newFleet(t, 1, routers, usualRate)
+					defer f.close()
+					time.Sleep(5 * time.Second)
+					cut := f.routers[:2*routers/3]
+					for _, r := range cut {
+						r.setLinks(state, serverCount)
+					}
+					late := known
+					if state == linkRefuses { // It shows with the next new connections only.
+						late = 4 * known
+					}
+					time.Sleep(late)
+					for _, r := range cut {
+						g.Expect(r.monitor.State()).To(gomega.Equal(uplink.CutOff))
+					}
+					time.Sleep(5 * time.Second)
+					for _, r := range cut {
+						r.setLinks(linkUp, 0)
+					}
+					time.Sleep(known)
+					for _, r := range f.routers {
+						g.Expect(r.monitor.State()).To(gomega.Equal(uplink.Reached))
+					}
+					for _, r := range f.routers[len(cut):] {
+						g.Expect(r.timeIn(uplink.CutOff, time.Time{})).To(gomega.BeZero())
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against servers that all stand still for a moment and are taken for a cut.
+func TestPauseOfAllServersIsNoCut(t *testing.T) {
+	for _, routers := range []int{1, 3, 80} {
+		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				f := newFleet(t, 1, routers, usualRate)
+				defer f.close()
+				for range 5 {
+					time.Sleep(4 * time.Second)
+					f.pause(1500 * time.Millisecond)
+				}
+				time.Sleep(4 * time.Second)
+				for _, r := range f.routers {
+					g.Expect(r.changes).To(gomega.BeEmpty())
+				}
+			})
+		})
+	}
+}
+
+// Guards against callers that wait where no router reaches a server, and against a router that
+// stays in that state when the links are back.
+func TestRoutersThatAreAllCutOffSaySo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 1, 6, usualRate)
+		defer f.close()
+		time.Sleep(5 * time.Second)
+		for _, r := range f.routers {
+			r.setLinks(linkHangs, serverCount)
+		}
+		time.Sleep(4 * time.Second)
+		for _, r := range f.routers {
+			g.Expect(r.monitor.State()).To(gomega.Equal(uplink.Silent))
+			r.setLinks(linkUp, 0)
+		}
+		time.Sleep(known)
+		for _, r := range f.routers {
+			g.Expect(r.monitor.State()).To(gomega.Equal(uplink.Reached))
+		}
+	})
+}
+
+// Guards against a router that reaches some of the servers and gives up all of them.
+func TestHalfACutIsNone(t *testing.T) {
+	for name, state := range map[string]linkState{"hang": linkHangs, "reset": linkResets, "refuse": linkRefuses} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 6, usualRate)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				cut := time.Now()
+				f.routers[0].setLinks(state, serverCount/2)
+				time.Sleep(30 * time.Second)
+				g := gomega.NewWithT(t)
+				g.Expect(f.routers[0].timeIn(uplink.CutOff, cut)).To(gomega.BeNumerically("<", 3*time.Second))
+			})
+		})
+	}
+}
+
+// change is a change of a router's links in a history.
+type change struct {
+	pause   time.Duration
+	router  int
+	state   linkState
+	servers int
+}
+
+// TestNoHistoryLeavesARouterInAWrongState checks with random histories of cuts, by share and by
+// router, that flap, overlap and heal, and of pauses of all servers, that a router which is not
+// cut off from all servers does not stay in the state, and one that is knows it.
+func TestNoHistoryLeavesARouterInAWrongState(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		routers := rapid.SampledFrom([]int{3, 8, 24}).Draw(rt, "routers")
+		seed := rapid.Uint64().Draw(rt, "seed")
+		var history []change
+		for range rapid.IntRange(1, 8).Draw(rt, "changes") {
+			history = append(history, change{
+				pause:   time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause")) * time.Millisecond,
+				router:  rapid.IntRange(0, routers-2).Draw(rt, "router"),
+				state:   linkState(rapid.IntRange(0, 2).Draw(rt, "state")),
+				servers: rapid.SampledFrom([]int{1, serverCount / 2, serverCount}).Draw(rt, "servers"),
+			})
+		}
+		pauses := rapid.IntRange(0, 2).Draw(rt, "pauses")
+		bubble.Run(t, rt, func(t *testing.T) (failure string) {
+			f := newFleet(t, seed, routers, usualRate)
+			defer f.close()
+			time.Sleep(3 * time.Second)
+			for i, c := range history {
+				if i < pauses {
+					f.pause(1500 * time.Millisecond)
+				}
+				f.routers[c.router].setLinks(c.state, c.servers)
+				time.Sleep(c.pause)
+			}
+			time.Sleep(2*time.Second + 2*known)
+			return f.wrongState()
+		})
+	})
+}
+
+// wrongState describes a router whose state does not fit its links, or returns an empty string.
+func (f *fleet) wrongState() string {
+	for _, r := range f.routers {
+		r.mu.Lock()
+		cut := r.state != linkUp && r.unreachable == serverCount
+		healthy := r.state == linkUp || r.unreachable <= 1
+		r.mu.Unlock()
+		state := r.monitor.State()
+		if cut && state != uplink.CutOff || healthy && (state == uplink.CutOff || state == uplink.Silent) {
+			return fmt.Sprintf("router %d is %v, cut off: %v", r.number, state, cut)
+		}
+	}
+	return ""
+}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -294,6 +294,10 @@
 
 // recordStart records that the attempt delivered an event or a complete response.
 func (p *proxiedRequest) recordStart(reservation *placement.Reservation) {
+	if reservation == nil { // Another router makes the attempt and records it.
+		p.started = true
+		return
+	}
 	reservation.RecordFirstEvent(time.Now())
 	if !p.started && len(p.run.Parts) > 0 {
 		p.relay.quarantine.ReportStart(p.run)
--- a/router/relay/body.go
+++ b/router/relay/body.go
@@ -99,7 +99,10 @@
 }
 
 // releaseBody returns the memory reserved for the body.
-func (p *proxiedRequest) releaseBody() { p.relay.bodyBytes.Add(-p.reservedBytes) }
+func (p *proxiedRequest) releaseBody() {
+	p.relay.bodyBytes.Add(-p.reservedBytes)
+	p.reservedBytes = 0
+}
 
 // handleBodyError answers a request whose body could not be read.
 func (p *proxiedRequest) handleBodyError(err error) {
--- /dev/null
+++ b/router/relay/handover_serve.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/handover"
+)
+
+const (
+	// maxHandedOver is the number of requests of other routers that a router runs at the same
+	// time. Further ones are declined, so that its own callers are served.
+	maxHandedOver = 256
+
+	// handoverOverhead bounds the size of a handed over request apart from its body, in bytes.
+	handoverOverhead = 2 * maxHeaderBytes
+
+	// errNoHandover means that a request is not taken over.
+	errNoHandover = errors.ConstError("not taken over")
+)
+
+// serveHandover runs the request of another router. Only routers that this one hears may ask.
+func (n *Node) serveHandover(w http.ResponseWriter, r *http.Request) {
+	peer, ok := n.livePeer(r.RemoteAddr)
+	if !ok {
+		n.log.RepeatedFailure(time.Now(), "handover", errNoHandover).Str("from", r.RemoteAddr).Msg("hand-over by an unknown sender")
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	n.relay.serveHandover(w, r, peer)
+}
+
+// livePeer returns the address of the router that a connection comes from, and false if it is
+// none that is alive.
+func (n *Node) livePeer(remote string) (netip.Addr, bool) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return netip.Addr{}, false
+	}
+	address, err := netip.ParseAddr(host)
+	if err != nil {
+		return netip.Addr{}, false
+	}
+	known := slices.ContainsFunc(n.broadcaster.Live(time.Now()), func(p netip.AddrPort) bool { return p.Addr() == address.Unmap() })
+	return address.Unmap(), known
+}
+
+// serveHandover takes over the request of another router, or declines it.
+func (r *relay) serveHandover(w http.ResponseWriter, call *http.Request, peer netip.Addr) {
+	if r.handedOver.Add(1) > maxHandedOver || r.refusesRequests() || r.outOfReach() {
+		r.handedOver.Add(-1)
+		declineHandover(w)
+		return
+	}
+	defer r.handedOver.Add(-1)
+	r.inflight.Add(1)
+	defer r.inflight.Add(-1)
+	p := &proxiedRequest{relay: r, writer: w, arrivedAt: time.Now(), peer: peer}
+	defer p.releaseBody()
+	request, err := r.readHandover(p, call)
+	if err != nil {
+		r.options.log.Request(time.Now(), err).Str("router", peer.String()).Msg("hand-over not read")
+		declineHandover(w)
+		return
+	}
+	p.handedOver = &request
+	p.request = newHandedOverRequest(call, request)
+	r.metrics.handedOver.Inc(1)
+	p.serve()
+}
+
+// declineHandover answers that the request was not taken.
+func declineHandover(w http.ResponseWriter) {
+	w.Header().Set(handover.OutcomeHeader, string(handover.Declined))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// readHandover reads a request that another router hands over, within the memory for bodies.
+func (r *relay) readHandover(p *proxiedRequest, call *http.Request) (handover.Request, error) {
+	limit := int64(handoverOverhead)
+	if index := r.index.Load(); index != nil {
+		limit += index.plan.Limits.MaxBodyBytes
+	}
+	if call.URL.Path != handover.Path || call.ContentLength < 0 {
+		return handover.Request{}, errors.NotValidf("call of %s", call.URL.Path)
+	}
+	if limit > handoverOverhead && call.ContentLength > limit {
+		return handover.Request{}, errBodyTooLong
+	}
+	if err := p.reserveBody(call.ContentLength); err != nil {
+		return handover.Request{}, err
+	}
+	data := make([]byte, call.ContentLength)
+	if _, err := io.ReadFull(call.Body, data); err != nil {
+		return handover.Request{}, fmt.Errorf("read handed over request: %w", err)
+	}
+	return handover.Decode(data) //nolint:wrapcheck // It says what it decodes.
+}
+
+// newHandedOverRequest returns the request as the caller sent it to the other router. It ends with
+// the call of that router.
+func newHandedOverRequest(call *http.Request, h handover.Request) *http.Request {
+	path, query, _ := strings.Cut(h.Target, "?")
+	request := call.WithContext(call.Context())
+	request.Method, request.Host, request.Header, request.RequestURI = h.Method, h.Host, h.Header, h.Target
+	request.URL = &url.URL{Path: path, RawQuery: query}
+	if request.Header == nil {
+		request.Header = make(http.Header)
+	}
+	return request
+}
+
+// applyHandover takes over what the other router knows of the request.
+func (p *proxiedRequest) applyHandover() {
+	h := p.handedOver
+	p.executions, p.lastEventID = h.Executions, h.LastEventID
+	if slices.ContainsFunc(p.class.Splits, func(s Split) bool { return s.Service == h.Service }) {
+		p.service = h.Service
+	}
+}
--- a/router/relay/listen.go
+++ b/router/relay/listen.go
@@ -38,6 +38,9 @@
 	if n.servesIndirectCalls() {
 		handlers[n.config.PeerAddress.String()] = http.HandlerFunc(n.serveIndirectCall)
 	}
+	if n.config.HandoverAddress.IsValid() {
+		handlers[n.config.HandoverAddress.String()] = http.HandlerFunc(n.serveHandover)
+	}
 	if n.config.OperatorAddress != "" {
 		operators := mux.NewRouter()
 		operators.HandleFunc("/metrics", n.serveMetrics)
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -34,6 +34,8 @@
 //   - apart: the number of the service's servers reserved for short prompts
 //   - listed: the age of the list of servers when the server was chosen, in
 //     milliseconds
+//   - router: the other router, if the request was handed over, and taken whether it
+//     came from there
 //   - sent: the time from the choice to the first byte written to the server,
 //     in milliseconds, or 0 if none was written
 //
@@ -53,6 +55,9 @@
 			event = event.Dur("missing", missing)
 		}
 	}
+	if p.peer.IsValid() {
+		event = event.Str("router", p.peer.String()).Bool("taken", p.handedOver != nil)
+	}
 	if p.choice.Server != "" {
 		event = p.addChoiceFields(event)
 	}
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -30,7 +30,9 @@
 	// attempts sent to servers that name a limit, unpermitted the choices that found no
 	// server with a permit left, keptBack the permits that were denied, and unanswered
 	// those for which no home answered. probes counts the health checks by which the links
-	// to the servers are judged.
+	// to the servers are judged. handovers counts the requests that another router took,
+	// handoversDeclined the offers that one did not take, and handedOver the requests of
+	// other routers that this one took.
 	requests    metrics.Counter
 	served      metrics.Counter
 	refused     metrics.Counter
@@ -46,8 +48,13 @@
 	keptBack    metrics.Counter
 	unanswered  metrics.Counter
 	probes      metrics.Counter
-	stale       metrics.Counter
-	firstByte   metrics.Histogram
+	handedOver  metrics.Counter
+	handovers   metrics.Counter
+
+	handoversDeclined metrics.Counter
+
+	stale     metrics.Counter
+	firstByte metrics.Histogram
 
 	// mu guards the fields below. classes holds the classes of the plan; the
 	// value is nil before the first outcome.
@@ -106,7 +113,12 @@
 		keptBack:    metrics.GetOrRegisterCounter("permits.denied", registry),
 		unanswered:  metrics.GetOrRegisterCounter("permits.unanswered", registry),
 		probes:      metrics.GetOrRegisterCounter("servers.probed", registry),
-		stale:       metrics.GetOrRegisterCounter("keys.stale", registry),
+		handovers:   metrics.GetOrRegisterCounter("handovers.sent", registry),
+		handedOver:  metrics.GetOrRegisterCounter("handovers.taken", registry),
+
+		handoversDeclined: metrics.GetOrRegisterCounter("handovers.declined", registry),
+
+		stale: metrics.GetOrRegisterCounter("keys.stale", registry),
 		firstByte: metrics.GetOrRegisterHistogram("answers.first", registry,
 			metrics.NewUniformSample(histogramSamples)),
 		classes:  make(map[string]*classMetrics),
@@ -233,7 +245,7 @@
 // countClass counts an outcome of the request in its class. A request without a
 // class, or whose class left the plan, counts only in the totals.
 func (p *proxiedRequest) countClass(counter func(*classMetrics) metrics.Counter) {
-	if p.class == nil {
+	if p.class == nil || p.handedOver != nil {
 		return
 	}
 	if c := p.relay.metrics.class(p.class.Name); c != nil {
@@ -241,9 +253,17 @@
 	}
 }
 
+// count counts the request, or an outcome of it, unless it came from another router, which
+// counts it.
+func (p *proxiedRequest) count(counter metrics.Counter) {
+	if p.handedOver == nil {
+		counter.Inc(1)
+	}
+}
+
 // countFailed counts a request that failed.
 func (p *proxiedRequest) countFailed() {
-	p.relay.metrics.failed.Inc(1)
+	p.count(p.relay.metrics.failed)
 	p.countClass(func(c *classMetrics) metrics.Counter { return c.failed })
 }
 
@@ -299,6 +319,9 @@
 
 // countServed counts a complete response in its class and records its latency.
 func (p *proxiedRequest) countServed() {
+	if p.handedOver != nil {
+		return
+	}
 	c := p.relay.metrics.class(p.class.Name)
 	if c == nil {
 		return
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -57,6 +57,11 @@
 	// routers use the same port.
 	LimitAddress netip.AddrPort
 
+	// HandoverAddress is where other routers hand over requests while they don't reach the
+	// servers; if it is not valid, requests are neither taken nor handed over. All routers use
+	// the same port.
+	HandoverAddress netip.AddrPort
+
 	// SettingsErrors are faults in the settings with which the node can still
 	// run. They are logged at the start.
 	SettingsErrors []error
--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -30,6 +30,16 @@
 	kvCopy   KVCopy
 	source   *leavingServer
 	atSource bool
+
+	// elsewhere says that another router is to make the attempt. Nothing is reserved then.
+	elsewhere bool
+}
+
+// release gives back the capacity of a place that is not used.
+func (at *place) release(now time.Time) {
+	if at.reservation != nil {
+		at.reservation.Done(now, placement.Canceled)
+	}
 }
 
 // newPlace returns a place that was reserved now.
@@ -48,6 +58,9 @@
 	if !p.take(now, r.retryBudget.TakeSpeculative) {
 		return nil
 	}
+	if next, err := p.elsewhere(); next != nil || err != nil {
+		return p.replacementElsewhere(now, next)
+	}
 	if !r.balancer.HasRoom(now, p.service, tried) {
 		p.giveBack(now, r.retryBudget.ReturnSpeculative)
 		return nil
@@ -66,6 +79,17 @@
 	return next
 }
 
+// replacementElsewhere returns a place at another router for which a speculative retry was taken
+// at a time. If there is none, it gives the retry back and returns nil.
+func (p *proxiedRequest) replacementElsewhere(takenAt time.Time, next *place) *place {
+	if next == nil {
+		p.giveBack(takenAt, p.relay.retryBudget.ReturnSpeculative)
+		return nil
+	}
+	next.retryTakenAt = takenAt
+	return next
+}
+
 // hasRoom reports whether the chosen server had a free slot.
 func (p *proxiedRequest) hasRoom(choice placement.Choice) bool {
 	target, ok := (*p.relay.servers.Load())[choice.Server]
@@ -78,6 +102,6 @@
 	if unused == nil {
 		return
 	}
-	unused.reservation.Done(time.Now(), placement.Canceled)
+	unused.release(time.Now())
 	p.giveBack(unused.retryTakenAt, p.relay.retryBudget.ReturnSpeculative)
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -89,6 +89,11 @@
 	contacts *uplink.Contacts
 	uplink   *uplink.Monitor
 
+	// peerRouters are those that requests are handed over to, and handedOver is the number of
+	// requests of others in progress. peerRouters is set before the relay serves requests.
+	peerRouters *peerRouters
+	handedOver  atomic.Int64
+
 	// quarantine is set before the relay serves requests.
 	quarantine *quarantine.Exchange
 
@@ -319,7 +324,9 @@
 
 // leaving reports whether callers should send their next requests to another
 // router.
-func (r *relay) leaving() bool { return r.lingerUntil.Load() != 0 || r.disconnected() }
+func (r *relay) leaving() bool {
+	return r.lingerUntil.Load() != 0 || r.disconnected() || r.cutOff()
+}
 
 // inProgress returns the number of requests in progress.
 func (r *relay) inProgress() int64 { return r.inflight.Load() }
@@ -333,7 +340,7 @@
 
 // ready reports whether callers should be sent to this router.
 func (r *relay) ready() bool {
-	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.disconnected() && r.quarantineSynced() && r.limits.Synced()
+	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.disconnected() && !r.cutOff() && r.quarantineSynced() && r.limits.Synced()
 }
 
 // ServeHTTP implements http.Handler.
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
+	"snipetally.example/router/internal/handover"
 	"snipetally.example/router/internal/placement"
 	"snipetally.example/router/internal/quarantine"
 )
@@ -104,6 +106,14 @@
 	// refused for lack of a server.
 	retryAfter time.Duration
 
+	// peer is the address of the router that the request was handed over to or came from, if any.
+	// handedOver is what came with it in the latter case.
+	peer       netip.Addr
+	handedOver *handover.Request
+
+	// verdictAwaited says that the request has waited for the reason why it could not be sent.
+	verdictAwaited bool
+
 	// fallback is the error response of a server that ran the request. It is
 	// sent if no other server gives a better response.
 	fallback *bufferedResponse
@@ -112,12 +122,14 @@
 // serve answers the request.
 func (p *proxiedRequest) serve() {
 	r := p.relay
-	r.metrics.requests.Inc(1)
+	p.count(r.metrics.requests)
 	if !p.admit() {
 		return
 	}
 	defer p.releaseBody()
-	if err := p.readBody(); err != nil {
+	if p.handedOver != nil {
+		p.body, p.hasBody = p.handedOver.Body, p.handedOver.HasBody
+	} else if err := p.readBody(); err != nil {
 		p.handleBodyError(err)
 		return
 	}
@@ -138,6 +150,9 @@
 	r := p.relay
 	var parseErr error
 	p.info, parseErr = r.options.codec.ParseRequest(p.request.Header)
+	if p.handedOver != nil {
+		p.info.Timeout = p.handedOver.Timeout
+	}
 	p.index = r.index.Load()
 	if p.index == nil {
 		p.refuseStalePlan("no plan")
@@ -232,6 +247,9 @@
 	p.rank = p.index.ranks[priorityOf(p.class, p.team)]
 	p.service = pickService(p.class.Splits)
 	p.lastEventID = p.request.Header.Get("Last-Event-Id")
+	if p.handedOver != nil {
+		p.applyHandover()
+	}
 	p.placementRequest = placement.Request{
 		Service:      p.service,
 		PromptTokens: p.info.PromptTokens,
@@ -250,7 +268,9 @@
 		p.placementRequest.Parts = append(p.placementRequest.Parts, placement.Part(part))
 	}
 	p.prepareRun()
-	p.relay.retryBudget.RecordRequest(p.arrivedAt, p.service)
+	if p.handedOver == nil { // The router that it comes from counts it.
+		p.relay.retryBudget.RecordRequest(p.arrivedAt, p.service)
+	}
 }
 
 // sharedParts returns the parts of the prompt that other requests may have too.
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"snipetally.example/router/internal/handover"
 )
 
 const (
@@ -52,6 +54,7 @@
 // response.
 func (p *proxiedRequest) copyHeader(header http.Header) {
 	to := p.writer.Header()
+	header.Del(handover.OutcomeHeader) // Only a router may set it.
 	for name, values := range endToEnd(header) {
 		to[name] = values
 	}
@@ -123,17 +126,26 @@
 // refuse answers 503 for a request that did not run. Retry-After is set to the
 // delay, extended by a random jitter.
 func (p *proxiedRequest) refuse(reason string, after time.Duration) {
-	p.relay.metrics.refused.Inc(1)
+	p.count(p.relay.metrics.refused)
 	p.countClass(func(c *classMetrics) metrics.Counter { return c.refused })
 	seconds := after.Seconds() * (1 + retryJitter*rand.Float64())
 	p.writer.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
+	p.setOutcome(handover.Refused)
 	p.writeError(http.StatusServiceUnavailable, reason)
 }
 
+// setOutcome says in the response to another router that this router made it, and why.
+func (p *proxiedRequest) setOutcome(outcome handover.Outcome) {
+	if p.handedOver != nil {
+		p.writer.Header().Set(handover.OutcomeHeader, string(outcome))
+	}
+}
+
 // reject answers an invalid or unauthorized request with an error status.
 func (p *proxiedRequest) reject(status int, reason string) {
-	p.relay.metrics.refused.Inc(1)
+	p.count(p.relay.metrics.refused)
 	p.countClass(func(c *classMetrics) metrics.Counter { return c.refused })
+	p.setOutcome(handover.Refused)
 	p.writeError(status, reason)
 }
 
@@ -167,9 +179,11 @@
 		p.writeFallback(reason)
 	case ctx.Err() != nil:
 		p.countFailed()
+		p.setOutcome(handover.Ended)
 		p.writeError(http.StatusGatewayTimeout, reason)
 	default:
 		p.countFailed()
+		p.setOutcome(handover.Ended)
 		p.writeError(http.StatusBadGateway, reason)
 	}
 }
@@ -186,7 +200,7 @@
 
 // abortAbandoned records that the caller disconnected and aborts the handler.
 func (p *proxiedRequest) abortAbandoned() {
-	p.relay.metrics.abandoned.Inc(1)
+	p.count(p.relay.metrics.abandoned)
 	p.countClass(func(c *classMetrics) metrics.Counter { return c.abandoned })
 	p.logUnserved(0, "caller left")
 	panic(http.ErrAbortHandler) // Nobody reads the response.
@@ -194,7 +208,7 @@
 
 // recordServed counts and logs a request whose caller got a complete response.
 func (p *proxiedRequest) recordServed() {
-	p.relay.metrics.served.Inc(1)
+	p.count(p.relay.metrics.served)
 	late := p.isLate()
 	p.countServed()
 	if late || len(p.tried) > 1 {
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -43,6 +43,10 @@
 		return
 	}
 	for next != nil {
+		if next.elsewhere {
+			p.runElsewhere(ctx)
+			return
+		}
 		result, replacement, err := p.attempt(ctx, next)
 		p.countAttempt(result)
 		switch {
@@ -110,6 +114,9 @@
 // servers, only once it has a place and if the last attempt has sent something.
 func (p *proxiedRequest) retry(ctx context.Context, last attemptResult) (*place, string) {
 	p.awaitCrashCheck(ctx)
+	if last == notSent {
+		p.awaitVerdict(ctx)
+	}
 	if reason := p.stopReason(ctx); reason != "" {
 		return nil, reason
 	}
@@ -118,7 +125,7 @@
 		return nil, err.Error()
 	}
 	if last != notSent && !p.takeRetry(ctx, last) {
-		next.reservation.Done(time.Now(), placement.Canceled)
+		next.release(time.Now())
 		p.countRetry(false)
 		return nil, "retry budget used up"
 	}
@@ -169,7 +176,7 @@
 		return "may have run"
 	case p.executions >= max(p.class.MaxAttempts, 1):
 		return "attempts used up"
-	case p.rejections >= limit:
+	case p.rejections >= limit && !p.mayGoElsewhere():
 		return "rejected"
 	case p.isQuarantined(false):
 		return string(errQuarantined)
@@ -184,6 +191,10 @@
 // why there is no place; if all servers are busy, it sets how much later the
 // caller is asked to retry.
 func (p *proxiedRequest) choosePlace(ctx context.Context) (*place, error) {
+	if next, err := p.elsewhere(); next != nil || err != nil {
+		p.retryAfter = longRetryDelay
+		return next, err
+	}
 	request := p.placementRequest
 	request.Admitted = p.executions > 0
 	p.askLoads(ctx, p.tried)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -46,7 +46,7 @@
 			if err := p.forward(response, pending[:complete]); err != nil {
 				return callerGone, err
 			}
-			if p.longestGap > max(longest, p.class.TargetGap) {
+			if reservation != nil && p.longestGap > max(longest, p.class.TargetGap) {
 				p.gapBacklog = reservation.QueuedTokens()
 			}
 			pending = pending[:copy(pending, pending[complete:])]
--- a/router/relay/uplink.go
+++ b/router/relay/uplink.go
@@ -28,6 +28,7 @@
 		OnChange:       r.logUplinkChange,
 	})
 	r.uplink = n.uplink
+	r.peerRouters = newPeerRouters(n.config.HandoverAddress, n.broadcaster.PeersInReach)
 }
 
 // shuffle puts names in a random order.
@@ -39,7 +40,7 @@
 func (r *relay) reach() loadreport.Reach {
 	now := time.Now()
 	heardAt, heard := r.contacts.HeardAt()
-	return loadreport.Reach{Heard: heard, Unheard: max(now.Sub(heardAt), 0), OutOfReach: r.uplink.State() != uplink.Reached}
+	return loadreport.Reach{Heard: heard, Unheard: max(now.Sub(heardAt), 0), OutOfReach: r.outOfReach()}
 }
 
 // probableServers returns the IDs of the servers that accept requests.
--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -140,7 +140,8 @@
 	}
 }
 
-// watchedReader reads a response under a watchdog.
+// watchedReader reads a response under a watchdog, or without one if another router made the
+// attempt.
 type watchedReader struct {
 	response io.Reader
 	watch    *watchdog
@@ -148,6 +149,9 @@
 
 // Read implements io.Reader.
 func (r watchedReader) Read(b []byte) (int, error) {
+	if r.watch == nil {
+		return r.response.Read(b) //nolint:wrapcheck // The caller sees what the response returns.
+	}
 	r.watch.await()
 	n, err := r.response.Read(b)
 	if n > 0 {
