Send nothing to servers that ask this router for a pause

A server that turns a request away with 503 may say for how long it wants nothing from this router.

Cause and class as for leaving: what a server says of itself is passed on and not heeded. Change: decoded at the same place as the other statements, kept by the lifetime of the server, heeded at the choice and checked again when a request is written. It speaks for the router that was told, so that nothing is shared. It does not count as a failure of the server. Callers that find all servers so are refused (503) and told when the first one wants requests again.

--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -223,7 +223,8 @@
 	// ErrNoServer means that there is no server left to try.
 	ErrNoServer = errors.ConstError("no server")
 
-	// ErrLimited means that the servers left to try are withheld to keep their limits.
+	// ErrLimited means that the servers left to try are withheld, to keep their limits or as they
+	// asked for nothing for a while.
 	ErrLimited = errors.ConstError("servers limited")
 
 	// ErrBusy means that the request would wait too long at the best server.
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -94,6 +94,9 @@
 	// the server.
 	withheldUntil time.Time
 	withheldLevel float64
+
+	// restingUntil is until when the server wants no requests of this router at all.
+	restingUntil time.Time
 }
 
 // newServer returns the initial estimates of a server.
--- a/router/internal/placement/withhold.go
+++ b/router/internal/placement/withhold.go
@@ -15,9 +15,27 @@
 	}
 }
 
+// Rest keeps all requests from a server until a time, whether or not there are others, as it
+// asked this router for that.
+func (b *Balancer) Rest(id string, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.servers[id]; ok && until.After(s.restingUntil) {
+		s.restingUntil = until
+	}
+}
+
 // withholds reports whether a request is kept from the server.
 func (s *server) withholds(now time.Time, req *Request) bool {
-	return now.Before(s.withheldUntil) && req.Level >= s.withheldLevel
+	return now.Before(s.restingUntil) || now.Before(s.withheldUntil) && req.Level >= s.withheldLevel
+}
+
+// withheldFor returns until when a request that is kept from the server is kept from it.
+func (s *server) withheldFor(now time.Time, req *Request) time.Time {
+	if now.Before(s.withheldUntil) && req.Level >= s.withheldLevel && s.withheldUntil.After(s.restingUntil) {
+		return s.withheldUntil
+	}
+	return s.restingUntil
 }
 
 // pickNone returns why no member may get a request. If some are only withheld, the choice
@@ -25,8 +43,11 @@
 func (s *service) pickNone(now time.Time, req *Request, tried []string) (*Reservation, Choice, error) {
 	var first time.Time
 	for _, m := range s.members {
-		if !slices.Contains(tried, m.ID) && m.withholds(now, req) && (first.IsZero() || m.withheldUntil.Before(first)) {
-			first = m.withheldUntil
+		if slices.Contains(tried, m.ID) || !m.withholds(now, req) {
+			continue
+		}
+		if until := m.withheldFor(now, req); first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
 	if first.IsZero() {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -165,6 +165,9 @@
 		if response.Status == http.StatusMisdirectedRequest {
 			return placement.Unreachable
 		}
+		if restTime(response) > 0 {
+			return placement.Canceled // It is sound, and says when it has room again.
+		}
 		return placement.Rejected
 	case incomplete, serverError:
 		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
@@ -227,7 +230,7 @@
 			if p.isQuarantined(true) {
 				return errQuarantined
 			}
-			if !p.mayUse(ctx, at, target) {
+			if p.relay.rests(target) || !p.mayUse(ctx, at, target) {
 				return placement.ErrLimited
 			}
 			p.sendDelay, p.sentAt = time.Since(p.chosenAt), p.relay.options.clock()
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -190,6 +190,9 @@
 			sum += limit.PerSecond
 		}
 	}
+	if sum == 0 { // Servers rest, which says when all of them may come back.
+		return min(max(wait, shortRetryDelay), maxLimitDelay)
+	}
 	interval := maxLimitDelay
 	if seconds := float64(r.limits.Routers()) / sum; !math.IsInf(seconds, 0) && seconds < maxLimitDelay.Seconds() {
 		interval = time.Duration(seconds * float64(time.Second))
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -162,6 +162,10 @@
 
 	limit limitUsage
 
+	// restingUntil is the time on the clock until which the server wants no requests of this
+	// router.
+	restingUntil atomic.Int64
+
 	// leavingSaid says that a response said that the server leaves.
 	leavingSaid atomic.Bool
 }
