--- a/router/internal/sharedrate/leaving_test.go
+++ b/router/internal/sharedrate/leaving_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,35 @@
 	})
 }
 
+// Guards against traffic beyond the budget after a fifth of very many servers have said that they
+// leave at once, when each router names them again from time to time. With SNIPETALLY_MEASURE set it
+// runs at 400 routers too.
+func TestManyLeavingServersStayInTheBudgetOfTraffic(t *testing.T) {
+	sizes := []int{8, 80}
+	if os.Getenv("SNIPETALLY_MEASURE") != "" {
+		sizes = append(sizes, 400)
+	}
+	for _, routers := range sizes {
+		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				f := newFleet(t, 1, fleetConfig{routers: routers, delay: 3 * time.Millisecond, perSecond: 0.001})
+				defer f.close()
+				time.Sleep(2 * f.liveTime())
+				for i, r := range f.routers {
+					for n := range manyPerRouter {
+						r.sayLeaving(sharedrate.Key(manyKeys + i*manyPerRouter + n))
+					}
+				}
+				announced := f.trafficOf(time.Second)
+				named := f.trafficOf(10 * time.Second)
+				t.Logf("bytes a second at the worst router: %.0f in the second of the announcement, then %.0f", announced, named)
+				g.Expect(named).To(gomega.BeNumerically("<=", maxTraffic))
+			})
+		})
+	}
+}
+
 // TestNoHistoryTakesBackThatAServerLeaves checks with random histories that routers know of
 // each server that it leaves once one of them has been told, whatever is said of limits before
 // and after, and of no other.
--- a/router/internal/uplink/monitor.go
+++ b/router/internal/uplink/monitor.go
@@ -55,6 +55,10 @@
 	// maxTickGap is the time between two ticks above which the router itself stood still, so
 	// that nothing could be heard.
 	maxTickGap = 3 * tickInterval
+
+	// lateTickGap is the time since the last tick above which the router is short of processor
+	// time.
+	lateTickGap = 2 * tickInterval
 )
 
 // Change is a change of the state.
@@ -160,6 +164,14 @@
 	return now.Sub(m.since)
 }
 
+// Behind reports whether the router is so short of processor time that the monitor's ticks come
+// late.
+func (m *Monitor) Behind(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.tickedAt) > lateTickGap
+}
+
 // HeardSinceChange reports whether any server was heard since the state began.
 func (m *Monitor) HeardSinceChange() bool {
 	m.mu.Lock()
--- a/router/internal/uplink/monitor_test.go
+++ b/router/internal/uplink/monitor_test.go
@@ -109,6 +109,19 @@
 	})
 }
 
+// Guards against a router that takes further work while it has no time for its own.
+func TestRouterWithoutProcessorTimeIsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 1, 1, usualRate)
+		time.Sleep(5 * time.Second)
+		g.Expect(f.routers[0].monitor.Behind(time.Now())).To(gomega.BeFalse())
+		f.close()
+		time.Sleep(time.Second) // No tick comes.
+		g.Expect(f.routers[0].monitor.Behind(time.Now())).To(gomega.BeTrue())
+	})
+}
+
 // Guards against a router that reaches some of the servers and gives up all of them.
 func TestHalfACutIsNone(t *testing.T) {
 	for name, state := range map[string]linkState{"hang": linkHangs, "reset": linkResets, "refuse": linkRefuses} {
--- a/router/relay/handover_serve.go
+++ b/router/relay/handover_serve.go
@@ -18,7 +18,8 @@
 
 const (
 	// maxHandedOver is the number of requests of other routers that a router runs at the same
-	// time. Further ones are declined, so that its own callers are served.
+	// time. Further ones are declined, as all are while it is short of processor time, so that its
+	// own callers are served.
 	maxHandedOver = 256
 
 	// handoverOverhead bounds the size of a handed over request apart from its body, in bytes.
@@ -56,7 +57,7 @@
 
 // serveHandover takes over the request of another router, or declines it.
 func (r *relay) serveHandover(w http.ResponseWriter, call *http.Request, peer netip.Addr) {
-	if r.handedOver.Add(1) > maxHandedOver || r.refusesRequests() || r.outOfReach() {
+	if r.handedOver.Add(1) > maxHandedOver || r.refusesRequests() || r.outOfReach() || r.uplink.Behind(time.Now()) {
 		r.handedOver.Add(-1)
 		declineHandover(w)
 		return
