Believe no response of a hand-over without an outcome

Found by reading the change: a router that has not heard another one yet, as it has just started, answered a hand-over by 403, which the first one passed on to its caller as if it came from a server. Each response of a hand-over now says where it comes from; an unknown sender is declined, so that another router is asked, and a response without an outcome counts as broken. The test of unknown senders asks for the outcome, which was missing before. A timeout of zero, which stood for none, is malformed now; entries for routers that are gone are dropped.

--- a/router/internal/handover/handover.go
+++ b/router/internal/handover/handover.go
@@ -1,7 +1,7 @@
 // Package handover encodes requests that one router hands over to another one, which reaches the
 // backend servers while the first does not. A request is handed over as a whole in the body of
 // a call, so that nothing that a caller sends can be taken for a part of it. The response is the
-// one that the caller gets, apart from the outcome in its header.
+// one that the caller gets, apart from the outcome in its header, which each one has.
 package handover
 
 import (
@@ -19,14 +19,16 @@
 	ContentType = "application/cbor"
 )
 
-// Outcome says in the header of a response that the other router made it, and why. Responses of
-// backend servers have none.
+// Outcome says in the header of a response where it comes from.
 type Outcome string
 
 const (
 	// OutcomeHeader is the header that holds the outcome.
 	OutcomeHeader = "Handover-Outcome"
 
+	// Relayed means that the response is that of a backend server.
+	Relayed Outcome = "relayed"
+
 	// Declined means that the router did not take the request. Another one may.
 	Declined Outcome = "declined"
 
@@ -96,7 +98,7 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Request{}, fmt.Errorf("decode handed over request: %w", err)
 	}
-	if w.TimeoutUS < 0 || w.TimeoutUS > maxTimeout.Microseconds() || w.Executions < 0 || w.Method == "" || w.Target == "" {
+	if w.TimeoutUS <= 0 || w.TimeoutUS > maxTimeout.Microseconds() || w.Executions < 0 || w.Method == "" || w.Target == "" {
 		return Request{}, errors.NotValidf("handed over request %s %q with timeout %d and %d executions", w.Method, w.Target, w.TimeoutUS, w.Executions)
 	}
 	return Request{
--- a/router/relay/handover.go
+++ b/router/relay/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -26,6 +28,9 @@
 	// maxHandoverTries is the number of routers that a request is offered to. Only one takes it.
 	maxHandoverTries = 3
 
+	// minKeptRouters is the number of entries for other routers up to which none is dropped.
+	minKeptRouters = 64
+
 	// verdictWait is how long a request that could not be sent waits for the reason.
 	verdictWait = 400 * time.Millisecond
 
@@ -72,11 +77,27 @@
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetGone(peers)
 	declined := func(p netip.AddrPort) int64 { return int64(max(r.declinedUntil[p].Sub(now), 0)) }
 	slices.SortStableFunc(peers, func(a, b netip.AddrPort) int { return int(min(declined(a), 1) - min(declined(b), 1)) })
 	return peers[:min(len(peers), maxHandoverTries)]
 }
 
+// forgetGone drops what is kept for routers that are gone, once that is much. The caller holds
+// r.mu.
+func (r *peerRouters) forgetGone(peers []netip.AddrPort) {
+	if len(r.pools)+len(r.declinedUntil) <= 4*len(peers)+minKeptRouters {
+		return
+	}
+	for peer, pool := range r.pools {
+		if !slices.Contains(peers, peer) {
+			pool.Close()
+			delete(r.pools, peer)
+		}
+	}
+	maps.DeleteFunc(r.declinedUntil, func(peer netip.AddrPort, _ time.Time) bool { return !slices.Contains(peers, peer) })
+}
+
 // pool returns the connections to a router.
 func (r *peerRouters) pool(peer netip.AddrPort) *hop.Pool {
 	r.mu.Lock()
@@ -204,8 +225,12 @@
 // relayHandedOver forwards the response of a router that has taken the request. What that router
 // itself answered is kept for the end of the request.
 func (p *proxiedRequest) relayHandedOver(response *hop.Response, outcome handover.Outcome) (attemptResult, error) {
-	if outcome == "" {
+	switch outcome {
+	case handover.Relayed:
 		return p.relayResponse(response, nil, nil)
+	case handover.Refused, handover.Ended:
+	default:
+		return incomplete, fmt.Errorf("outcome %q of a hand-over: %w", outcome, errors.NotValid)
 	}
 	buffered, err := bufferResponse(response, nil)
 	if err != nil {
--- a/router/relay/handover_serve.go
+++ b/router/relay/handover_serve.go
@@ -34,7 +34,7 @@
 	peer, ok := n.livePeer(r.RemoteAddr)
 	if !ok {
 		n.log.RepeatedFailure(time.Now(), "handover", errNoHandover).Str("from", r.RemoteAddr).Msg("hand-over by an unknown sender")
-		w.WriteHeader(http.StatusForbidden)
+		declineHandover(w, http.StatusForbidden)
 		return
 	}
 	n.relay.serveHandover(w, r, peer)
@@ -59,7 +59,7 @@
 func (r *relay) serveHandover(w http.ResponseWriter, call *http.Request, peer netip.Addr) {
 	if r.handedOver.Add(1) > maxHandedOver || r.refusesRequests() || r.outOfReach() || r.uplink.Behind(time.Now()) {
 		r.handedOver.Add(-1)
-		declineHandover(w)
+		declineHandover(w, http.StatusServiceUnavailable)
 		return
 	}
 	defer r.handedOver.Add(-1)
@@ -70,7 +70,7 @@
 	request, err := r.readHandover(p, call)
 	if err != nil {
 		r.options.log.Request(time.Now(), err).Str("router", peer.String()).Msg("hand-over not read")
-		declineHandover(w)
+		declineHandover(w, http.StatusServiceUnavailable)
 		return
 	}
 	p.handedOver = &request
@@ -80,9 +80,9 @@
 }
 
 // declineHandover answers that the request was not taken.
-func declineHandover(w http.ResponseWriter) {
+func declineHandover(w http.ResponseWriter, status int) {
 	w.Header().Set(handover.OutcomeHeader, string(handover.Declined))
-	w.WriteHeader(http.StatusServiceUnavailable)
+	w.WriteHeader(status)
 }
 
 // readHandover reads a request that another router hands over, within the memory for bodies.
--- a/router/relay/handover_test.go
+++ b/router/relay/handover_test.go
@@ -226,6 +226,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(response.Body.Close()).To(gomega.Succeed())
 	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusForbidden))
+	g.Expect(response.Header.Get("Handover-Outcome")).To(gomega.Equal("declined")) // A router that isn't heard yet asks another one.
 	reply := p.sound.callWith(t, http.MethodPost, "/handover", "", strings.NewReader("x"), http.Header{"Handover-Outcome": {"declined"}})
 	g.Expect(reply.status).To(gomega.Equal(http.StatusNotFound))
 	g.Expect(ran.Load()).To(gomega.BeZero())
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -54,10 +54,11 @@
 // response.
 func (p *proxiedRequest) copyHeader(header http.Header) {
 	to := p.writer.Header()
-	header.Del(handover.OutcomeHeader) // Only a router may set it.
 	for name, values := range endToEnd(header) {
 		to[name] = values
 	}
+	to.Del(handover.OutcomeHeader) // Only a router may set it.
+	p.setOutcome(handover.Relayed)
 	if _, ok := to["Content-Type"]; !ok {
 		to["Content-Type"] = nil // Keeps net/http from detecting one.
 	}
@@ -134,7 +135,7 @@
 	p.writeError(http.StatusServiceUnavailable, reason)
 }
 
-// setOutcome says in the response to another router that this router made it, and why.
+// setOutcome says in the response to another router where it comes from.
 func (p *proxiedRequest) setOutcome(outcome handover.Outcome) {
 	if p.handedOver != nil {
 		p.writer.Header().Set(handover.OutcomeHeader, string(outcome))
