--- a/router/relay/departures.go
+++ b/router/relay/departures.go
@@ -23,15 +23,6 @@
 	lastSeen map[sharedrate.Key]time.Duration
 }
 
-// serverLifetime identifies one lifetime of a server, from its start to its end.
-type serverLifetime struct {
-	id        string
-	startedAt time.Time
-}
-
-// lifetime returns the lifetime that an entry is about.
-func (s Server) lifetime() serverLifetime { return serverLifetime{id: s.ID, startedAt: s.StartedAt} }
-
 // newDepartures returns an empty memory.
 func newDepartures() *departures {
 	return &departures{lastSeen: make(map[sharedrate.Key]time.Duration)}
--- a/router/relay/quarantine.go
+++ b/router/relay/quarantine.go
@@ -8,12 +8,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"github.com/juju/errors"
 
 	"snipetally.example/router/internal/quarantine"
-	"snipetally.example/router/internal/sharedrate"
 )
 
 const (
@@ -157,14 +155,6 @@
 // isSuspected reports whether a further attempt would probably crash another server.
 func (p *proxiedRequest) isSuspected() bool { return p.relay.quarantine.Ledger().Suspected(p.run) }
 
-// engineHash identifies a lifetime of a server between routers.
-func (s Server) engineHash() uint64 {
-	return xxhash.Sum64String(s.ID + "\x00" + strconv.FormatInt(s.StartedAt.UnixMilli(), 10))
-}
-
-// key identifies a lifetime of a server in what routers tell each other of it.
-func (s Server) key() sharedrate.Key { return sharedrate.Key(s.engineHash()) }
-
 // withPort returns addresses with another port. It changes the slice.
 func withPort(addresses []netip.AddrPort, port uint16) []netip.AddrPort {
 	for i, a := range addresses {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -16,11 +16,9 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
 	"snipetally.example/coordination/feed"
 	"snipetally.example/router/internal/decision"
-	"snipetally.example/router/internal/hop"
 	"snipetally.example/router/internal/placement"
 	"snipetally.example/router/internal/quarantine"
 	"snipetally.example/router/internal/retrybudget"
@@ -138,43 +136,6 @@
 	saidLeaving map[sharedrate.Key]struct{}
 }
 
-// backendServer is a backend server with the pool of connections to it.
-type backendServer struct {
-	Server
-	pool *hop.Pool
-
-	// entryDraining says that the server's entry says that it drains. Draining may be known
-	// otherwise.
-	entryDraining bool
-
-	// usage outlives changes of the server's entry.
-	usage *serverUsage
-}
-
-// serverUsage counts the attempts in progress at a server: those without a
-// response yet, and those whose response has begun. limit is the limit that it named.
-type serverUsage struct {
-	// key names the limit of this lifetime of the server.
-	key sharedrate.Key
-
-	unanswered atomic.Int64
-	answering  atomic.Int64
-
-	limit limitUsage
-
-	// restingUntil is the time on the clock until which the server wants no requests of this
-	// router.
-	restingUntil atomic.Int64
-
-	// leavingSaid says that a response said that the server leaves.
-	leavingSaid atomic.Bool
-}
-
-// newServerUsage returns the usage of a lifetime of a server.
-func newServerUsage(s Server) *serverUsage {
-	return &serverUsage{key: s.key()}
-}
-
 // newRelay returns a relay without a plan and servers.
 func newRelay(options options) *relay {
 	r := &relay{
@@ -217,46 +178,6 @@
 		Int("teams", len(plan.Teams)).Dur("took", time.Since(start)).Msg("plan in force")
 }
 
-// installServers replaces the set of backend servers, and takes over the map.
-// Requests in progress at servers that are gone continue.
-func (r *relay) installServers(servers map[string]Server) {
-	r.installMu.Lock()
-	defer r.installMu.Unlock()
-	old := *r.servers.Load()
-	outdated := r.departures.correct(r.options.clock(), servers)
-	for id := range outdated {
-		if b, ok := old[id]; !ok || b.entryDraining || !b.sameLifetime(servers[id]) {
-			r.options.log.StateChange().Str("server", id).Msg("outdated entry of leaving server")
-		}
-	}
-	next := make(map[string]*backendServer, len(servers))
-	for id, s := range servers {
-		b, ok := old[id]
-		if !ok || !b.sameLifetime(s) {
-			b = &backendServer{pool: hop.NewPool(s.Address), usage: newServerUsage(s)}
-		}
-		_, corrected := outdated[id]
-		next[id] = &backendServer{Server: s, pool: b.pool, entryDraining: s.Draining && !corrected, usage: b.usage}
-		r.handleServerUpdate(old[id], s)
-	}
-	for id, b := range old {
-		if kept, ok := next[id]; !ok || kept.pool != b.pool {
-			b.pool.Close()
-			r.migrateStreams(b.Server)
-			r.logLeaving(b).Msg("backend server removed")
-		}
-	}
-	r.servers.Store(&next)
-	r.updateBalancer()
-}
-
-// accepts reports whether a server that was chosen earlier still accepts new
-// requests.
-func (r *relay) accepts(chosen *backendServer) bool {
-	current, ok := (*r.servers.Load())[chosen.ID]
-	return ok && !current.Draining && current.pool == chosen.pool
-}
-
 // setBounds replaces the bounds in force.
 func (r *relay) setBounds(bounds Bounds) {
 	r.bounds.Store(&bounds)
@@ -264,62 +185,6 @@
 	r.retryBudget.SetExtra(bounds.RetryExtra, r.options.routers)
 }
 
-// updateBalancer gives the balancer the servers that accept requests, after which
-// the relay can choose one. Whether they are model engines depends on the plan,
-// which may arrive after the servers. The caller holds r.installMu.
-func (r *relay) updateBalancer() {
-	index := r.index.Load()
-	if index == nil {
-		return
-	}
-	var accepting []placement.Server
-	for _, s := range *r.servers.Load() {
-		if s.Draining {
-			continue
-		}
-		server := placement.Server{
-			ID: s.ID, Service: s.Service, Zone: s.Zone, Slots: s.Slots, WarmupRemaining: s.WarmupRemaining,
-		}
-		if service, ok := index.servicesByName[s.Service]; ok {
-			server.Engine, server.CacheTokens = service.IsEngine(), service.CacheTokens
-			server.TokensPerEvent = service.TokensPerEvent
-		}
-		accepting = append(accepting, server)
-	}
-	r.balancer.SetServers(time.Now(), accepting)
-	if len(*r.servers.Load()) > 0 {
-		r.canChooseSince.CompareAndSwap(0, int64(r.options.clock()))
-	}
-	r.canChoose.Store(len(*r.servers.Load()) > 0)
-}
-
-// handleServerUpdate logs that a server is new or began to drain, and in the
-// latter case starts to migrate its streams. The key leaving says whether a new
-// server is draining. A draining server accepts requests again only in another
-// lifetime with the same ID.
-func (r *relay) handleServerUpdate(old *backendServer, s Server) {
-	switch {
-	case old == nil:
-		r.options.log.StateChange().Str("server", s.ID).Str("service", s.Service).Str("address", s.Address).
-			Bool("leaving", s.Draining).Msg("backend server added")
-	case s.Draining && !old.Draining:
-		r.logLeaving(old).Msg("backend server draining")
-		r.migrateStreams(s)
-	case !s.Draining && old.Draining:
-		r.logLeaving(old).Msg("backend server accepting again")
-	}
-}
-
-// logLeaving starts a line about a server that stops or resumes accepting
-// requests. The key listed holds the time in milliseconds since the list of
-// servers was last known to be current, which is how much earlier the change may
-// have been made. unanswered and answering hold the numbers of attempts in
-// progress there without a response and with one that has begun.
-func (r *relay) logLeaving(b *backendServer) *zerolog.Event {
-	return r.options.log.StateChange().Str("server", b.ID).Dur("listed", r.serversAge()).
-		Int64("unanswered", b.usage.unanswered.Load()).Int64("answering", b.usage.answering.Load())
-}
-
 // stop starts the shutdown: from now on responses tell callers to close the
 // connection, and after the linger time requests are refused.
 func (r *relay) stop(linger time.Duration) {
--- a/router/relay/statements.go
+++ b/router/relay/statements.go
@@ -74,16 +74,6 @@
 	r.leavingLater(key)
 }
 
-// serverByKey returns the listed server of a lifetime, or nil.
-func (r *relay) serverByKey(key sharedrate.Key) *backendServer {
-	for _, s := range *r.servers.Load() {
-		if s.usage.key == key {
-			return s
-		}
-	}
-	return nil
-}
-
 // leavingBatchDelay is the time for which servers that say that they leave are collected, as
 // many may say so at once and each change copies the list of servers.
 const leavingBatchDelay = 10 * time.Millisecond
