Take nothing for a cut that other routers hear a moment earlier

After all servers stood still, one router heard them some milliseconds before another one, and said so in a report that came first. A router now has to hear nothing for 0.25 s more, with probes each 0.1 s, after it first knows that another one has heard a server.

--- a/router/internal/uplink/contacts.go
+++ b/router/internal/uplink/contacts.go
@@ -17,7 +17,7 @@
 	// minOverdue is the least time that an exchange waits for its response, while no server is
 	// heard, before that is a reason for suspicion. One that is expected to take long waits
 	// overdueFactor times as long as expected.
-	minOverdue    = 250 * time.Millisecond
+	minOverdue    = 200 * time.Millisecond
 	overdueFactor = 2
 
 	// recentlyHeard is the time in which a byte from any server outweighs the failure of a
--- a/router/internal/uplink/fleet_test.go
+++ b/router/internal/uplink/fleet_test.go
@@ -50,6 +50,9 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	paused time.Time
+
+	// stagger is the time between the ends of the pauses of two servers.
+	stagger time.Duration
 }
 
 // router is a router of a fleet.
@@ -128,11 +131,11 @@
 	f.paused = time.Now().Add(length)
 }
 
-// pausedUntil returns until when all servers stand still.
-func (f *fleet) pausedUntil() time.Time {
+// pausedUntil returns until when a server stands still.
+func (f *fleet) pausedUntil(server int) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.paused
+	return f.paused.Add(time.Duration(server) * f.stagger)
 }
 
 // setLinks sets the state of the links of a router to the first servers.
@@ -155,7 +158,7 @@
 // exchange makes an exchange with a server.
 func (r *router) exchange(ctx context.Context, server int, fresh bool) error {
 	select {
-	case <-time.After(serveTime + time.Until(r.fleet.pausedUntil())):
+	case <-time.After(serveTime + time.Until(r.fleet.pausedUntil(server))):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/router/internal/uplink/monitor.go
+++ b/router/internal/uplink/monitor.go
@@ -36,8 +36,10 @@
 	// tickInterval is the interval at which the contacts are looked at.
 	tickInterval = 100 * time.Millisecond
 
-	// probeInterval is the time between two rounds of probes while there is doubt, probeCount
-	// the number of servers in a round, and probeTimeout how long a probe may take.
+	// doubtInterval is the time between two rounds of probes while there is doubt, and
+	// probeInterval that while it is known that no server answers. probeCount is the number of
+	// servers in a round, and probeTimeout how long a probe may take.
+	doubtInterval = 100 * time.Millisecond
 	probeInterval = 250 * time.Millisecond
 	probeCount    = 4
 	probeTimeout  = time.Second
@@ -45,6 +47,10 @@
 	// verdictTime is how long probes are awaited before the router counts as cut off.
 	verdictTime = 250 * time.Millisecond
 
+	// confirmTime is how long the router goes on hearing nothing after another one has heard a
+	// server, before it counts as cut off: servers that stood still don't go on all at once.
+	confirmTime = 250 * time.Millisecond
+
 	// silentTime is how long nothing may be heard from any server before requests are refused,
 	// if no other router is known to hear one either. Sound servers may stand still for 1.5 s.
 	silentTime = 2500 * time.Millisecond
@@ -113,6 +119,10 @@
 	calmUntil    time.Time
 	tickedAt     time.Time
 
+	// peerHeardAt is when it was first known in the present doubt that another router has heard a
+	// server since it began, or the zero time.
+	peerHeardAt time.Time
+
 	// pending is the number of probes of the present doubt that have no outcome yet.
 	pending int
 
@@ -215,7 +225,7 @@
 func (m *Monitor) tick(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	if now.Sub(m.tickedAt) > maxTickGap && m.state == Suspected {
-		m.doubtAt, m.pending, m.probedAt = now, 0, time.Time{}
+		m.beginDoubt(now)
 	}
 	m.tickedAt = now
 	m.mu.Unlock()
@@ -241,7 +251,7 @@
 	defer m.mu.Unlock()
 	switch {
 	case m.state == Reached && suspicious && !now.Before(m.calmUntil):
-		m.doubtAt, m.pending, m.probedAt = now, 0, time.Time{}
+		m.beginDoubt(now)
 		m.change(now, Suspected)
 	case m.state == Suspected && !suspicious:
 		m.change(now, Reached)
@@ -249,21 +259,27 @@
 	if m.state == Reached {
 		return time.Time{}, false
 	}
-	probe = now.Sub(m.probedAt) >= probeInterval
+	interval := probeInterval
+	if m.state == Suspected {
+		interval = doubtInterval
+	}
+	probe = now.Sub(m.probedAt) >= interval
 	if probe {
 		m.probedAt = now
 	}
 	return m.doubtAt, probe
 }
 
+// beginDoubt begins a doubt. The caller holds m.mu.
+func (m *Monitor) beginDoubt(now time.Time) {
+	m.doubtAt, m.pending, m.probedAt, m.peerHeardAt = now, 0, time.Time{}, time.Time{}
+}
+
 // judge confirms a doubt.
 func (m *Monitor) judge(now time.Time) {
 	m.mu.Lock()
-	doubtAt, decided := m.doubtAt, now.Sub(m.doubtAt) >= verdictTime || m.pending == 0
+	doubtAt := m.doubtAt
 	m.mu.Unlock()
-	if !decided {
-		return
-	}
 	peerHeard := m.config.PeerHeardAfter(doubtAt)
 	heardAt, _ := m.config.Contacts.HeardAt()
 	m.mu.Lock()
@@ -272,12 +288,21 @@
 		return
 	}
 	switch {
-	case (m.state == Suspected || m.state == Silent) && peerHeard:
+	case !peerHeard:
+		m.peerHeardAt = time.Time{}
+	case m.peerHeardAt.IsZero():
+		m.peerHeardAt = now
+	}
+	if now.Sub(m.doubtAt) < verdictTime && m.pending > 0 {
+		return
+	}
+	switch {
+	case (m.state == Suspected || m.state == Silent) && peerHeard && now.Sub(m.peerHeardAt) >= confirmTime:
 		m.change(now, CutOff)
 	case m.state == Suspected && now.Sub(m.doubtAt) >= silentTime && !heardAt.After(m.doubtAt):
 		m.change(now, Silent)
 	case m.state == Silent && heardAt.After(m.since):
-		m.doubtAt = now
+		m.beginDoubt(now)
 		m.change(now, Suspected)
 	}
 }
--- a/router/internal/uplink/monitor_test.go
+++ b/router/internal/uplink/monitor_test.go
@@ -67,11 +67,12 @@
 
 // Guards against servers that all stand still for a moment and are taken for a cut.
 func TestPauseOfAllServersIsNoCut(t *testing.T) {
-	for _, routers := range []int{1, 3, 80} {
+	for _, routers := range []int{1, 3, 8, 80} {
 		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
 				f := newFleet(t, 1, routers, usualRate)
+				f.stagger = 20 * time.Millisecond
 				defer f.close()
 				for range 5 {
 					time.Sleep(4 * time.Second)
@@ -86,6 +87,31 @@
 	}
 }
 
+// Guards against a router that takes itself for cut off as another one hears servers a moment
+// earlier after all of them stood still.
+func TestRoutersThatHearServersAgainOneAfterTheOtherAreNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 1, 6, usualRate)
+		defer f.close()
+		for range 20 {
+			time.Sleep(3 * time.Second)
+			for _, r := range f.routers {
+				r.setLinks(linkHangs, serverCount)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			for _, r := range f.routers {
+				r.setLinks(linkUp, 0)
+				time.Sleep(30 * time.Millisecond)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for _, r := range f.routers {
+			g.Expect(r.changes).To(gomega.BeEmpty())
+		}
+	})
+}
+
 // Guards against callers that wait where no router reaches a server, and against a router that
 // stays in that state when the links are back.
 func TestRoutersThatAreAllCutOffSaySo(t *testing.T) {
