Record which servers say that they are brittle, and what they reject

Cause: nothing read that a server is brittle, so that the logs could not tell the five hypotheses of docs/incidents/brittle-servers.md apart. Change: the adapter decodes the header; lines say when a server begins and ends to be brittle, and once a second what it rejected and what broke there.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -120,7 +120,9 @@
 	target.usage.unanswered.Add(-1)
 	if err != nil {
 		p.relay.endContact(ctx, contact, err)
-		return p.handleSendError(ctx, reservation, target, err)
+		result, err := p.handleSendError(ctx, reservation, target, err)
+		p.relay.logAtBrittle(target, result, p.written == 1)
+		return result, err
 	}
 	defer response.Close()
 	contact.Answered(time.Now(), !response.Reused)
@@ -130,6 +132,7 @@
 	defer target.usage.answering.Add(-1)
 	result, err := p.relayResponse(response, reservation, watch)
 	reservation.Done(time.Now(), p.placementOutcome(ctx, result, response))
+	p.relay.logAtBrittle(target, result, p.written == 1)
 	if result != notExecuted {
 		p.countExecution()
 	}
--- a/router/relay/codec.go
+++ b/router/relay/codec.go
@@ -119,6 +119,21 @@
 
 	// Limit is the rate of requests that the server asks for, if it names one.
 	Limit ServerLimit
+
+	// Brittle says whether the server falls over under too many requests that it rejects.
+	Brittle ServerBrittleness
+}
+
+// ServerBrittleness is what a backend server says of how many requests it can reject. It holds
+// for as long as the server's responses say so.
+type ServerBrittleness struct {
+	// Named says that the server is brittle. Tolerated is the number of requests that it
+	// can reject in a second for lack of room, zero or more.
+	Named     bool
+	Tolerated int
+
+	// Malformed is the start of a value that is no number, or empty.
+	Malformed string
 }
 
 // ServerLimit is the largest rate at which a backend server wants to get requests
--- a/router/relay/fakes_test.go
+++ b/router/relay/fakes_test.go
@@ -29,6 +29,7 @@
 	partsHeader       = "Parts"
 	limitHeader       = "Limit"
 	leavingHeader     = "Leaving"
+	brittleHeader     = "Brittle"
 )
 
 // codec maps the headers above.
@@ -67,11 +68,13 @@
 
 func (codec) ParseResponse(status int, h http.Header) relay.ResponseInfo {
 	rate, err := strconv.ParseFloat(h.Get(limitHeader), 64)
+	tolerated, brittleErr := strconv.Atoi(h.Get(brittleHeader))
 	return relay.ResponseInfo{
 		AttemptID: h.Get(attemptHeader), Signed: h.Get(signedHeader) != "",
 		NotExecuted: h.Get(notExecutedHeader) != "" || status == http.StatusMisdirectedRequest,
 		Leaving:     h.Get(leavingHeader) != "",
 		Limit:       relay.ServerLimit{Named: err == nil, PerSecond: rate},
+		Brittle:     relay.ServerBrittleness{Named: brittleErr == nil, Tolerated: tolerated},
 	}
 }
 
--- a/router/relay/servers.go
+++ b/router/relay/servers.go
@@ -27,7 +27,7 @@
 }
 
 // serverUsage counts the attempts in progress at a server: those without a
-// response yet, and those whose response has begun. limit is the limit that it named.
+// response yet, and those whose response has begun. limit and brittle are what it said of its need.
 type serverUsage struct {
 	// key names the limit of this lifetime of the server.
 	key sharedrate.Key
@@ -35,7 +35,8 @@
 	unanswered atomic.Int64
 	answering  atomic.Int64
 
-	limit limitUsage
+	limit   limitUsage
+	brittle brittleUsage
 
 	// restingUntil is the time on the clock until which the server wants no requests of this
 	// router.
