Give brittle servers no more requests than they have room for

What callers saw: servers that say that they are brittle fell over under the requests that they had to reject, at half of what they can do already, and nearly all callers got 502. Cause: no part decided by what the server said, nothing bounds what waits at a plain server, and no router knows what the others have there. A server that is back was a new lifetime of which nothing was known. Change: package sharedrate gives places at brittle servers as it gives permits: the home of a server counts the requests that all routers have there and grants no more than its slots; what finds no place waits at the home, urgent ones first, for half of its target, and is refused after that. Places are leases: they are renewed with the age of a request, asked for when in doubt, reported to a new home before it gives any, and opened one after the other at a server that is back. A rejection closes what was too much. Servers of a brittle service that were not heard since are taken for brittle, too. Messages about places are a kind of their own that older routers ignore.

--- a/router/internal/placement/reservation.go
+++ b/router/internal/placement/reservation.go
@@ -41,6 +41,9 @@
 	// was expected to have the session cached.
 	use    SessionUse
 	cached bool
+
+	// ended is called once the reservation is released. It may be nil.
+	ended func()
 }
 
 // engineOverhead is the time to the first event on top of waiting and prefill,
@@ -131,10 +134,22 @@
 	r.service.prefillSpeed += weight * (min(sample, maxSampleRatio*r.service.prefillSpeed) - r.service.prefillSpeed)
 }
 
+// OnEnd sets a function that is called without locks held after the reservation is released, by
+// Done or Withdraw. It must be set before that.
+func (r *Reservation) OnEnd(ended func()) { r.ended = ended }
+
 // Done releases the reservation and records the outcome.
 func (r *Reservation) Done(now time.Time, outcome Outcome) {
 	r.release(now, outcome)
+	r.notifyEnd()
+}
+
+// notifyEnd tells others that the reservation is released.
+func (r *Reservation) notifyEnd() {
 	r.notifyLoadChange()
+	if r.ended != nil {
+		r.ended()
+	}
 }
 
 // release does the work of Done except for the notification.
--- a/router/internal/placement/withhold.go
+++ b/router/internal/placement/withhold.go
@@ -56,12 +56,72 @@
 	return nil, Choice{LimitWait: first.Sub(now)}, ErrLimited
 }
 
+// PickSoonest reserves capacity at the server that is withheld for the shortest time, or not at all, although
+// it may be withheld: the request is to wait for it. It skips the servers in tried, and those that
+// asked for nothing.
+func (b *Balancer) PickSoonest(now time.Time, req Request, tried []string) (*Reservation, Choice, error) {
+	reservation, choice, err := b.pickSoonest(now, req, tried)
+	if err == nil {
+		reservation.notifyLoadChange()
+	}
+	return reservation, choice, err
+}
+
+// pickSoonest does the work of PickSoonest except for the notification.
+func (b *Balancer) pickSoonest(now time.Time, req Request, tried []string) (*Reservation, Choice, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	svc := b.service(req.Service)
+	var chosen *server
+	var least time.Duration
+	start := int(req.Draw % uint64(max(len(svc.members), 1)))
+	for i := range svc.members {
+		m := svc.members[(start+i)%len(svc.members)]
+		if slices.Contains(tried, m.ID) || now.Before(m.restingUntil) || now.Before(m.suspendedUntil) {
+			continue
+		}
+		wait := max(m.withheldUntil.Sub(now), 0)
+		if chosen == nil || wait < least {
+			chosen, least = m, wait
+		}
+	}
+	if chosen == nil {
+		return nil, Choice{}, ErrNoServer
+	}
+	if chosen.Engine {
+		b.annotate(now, &req, svc)
+	}
+	cached := chosen.Engine && req.cachedOn(now, chosen)
+	choice := Choice{Server: chosen.ID, NextCost: -1, Cached: cached, QueuedTokens: chosen.queuedTokens(), Running: chosen.load()}
+	return b.reserve(now, &req, svc, chosen, cached), choice, nil
+}
+
+// ServiceRate returns the number of requests a second that the servers of a service can take that
+// a function accepts, if each works on as many at a time as it has slots.
+func (b *Balancer) ServiceRate(service string, accepts func(id string) bool) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	svc := b.service(service)
+	rate := 0.0
+	for _, m := range svc.members {
+		if !accepts(m.ID) {
+			continue
+		}
+		usual := svc.plainLatency.Seconds()
+		if m.Engine {
+			usual = svc.residence[shortGroup]
+		}
+		rate += float64(max(m.Slots, 1)) / max(usual, time.Millisecond.Seconds())
+	}
+	return rate
+}
+
 // Withdraw releases a reservation whose request is not sent to the server. It leaves no
 // trace, unlike Done: the session was not processed there.
 func (r *Reservation) Withdraw(now time.Time) {
 	r.release(now, Canceled)
 	r.withdrawUse()
-	r.notifyLoadChange()
+	r.notifyEnd()
 }
 
 // withdrawUse takes back what the directory learned of the session, unless the server was
--- a/router/internal/sharedrate/announce.go
+++ b/router/internal/sharedrate/announce.go
@@ -23,6 +23,11 @@
 // announceLater announces a change to all routers soon. The caller holds e.mu.
 func (e *Exchange) announceLater(key Key) {
 	e.pending[key] = struct{}{}
+	e.scheduleAnnouncement()
+}
+
+// scheduleAnnouncement lets the pending changes be announced soon. The caller holds e.mu.
+func (e *Exchange) scheduleAnnouncement() {
 	if e.announcing {
 		return
 	}
@@ -58,10 +63,15 @@
 		changes = append(changes, keyedStatement{Key: key, Statement: e.statements[key]})
 	}
 	clear(e.pending)
+	brittle := e.takePendingBrittleness()
 	e.announcing = false
 	others := slices.Clone(e.view.members())
 	e.mu.Unlock()
 	for chunk := range slices.Chunk(changes, maxStatementsPerMessage) {
 		e.sendAll(message{sentAt: now, Statements: chunk}, others)
 	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for chunk := range slices.Chunk(brittle, maxStatementsPerMessage) {
+		e.sendPlaceMessage(placeMessage{Brittle: chunk}, others[:min(len(others), maxAnnouncedTo)])
+	}
 }
--- a/router/internal/sharedrate/ask.go
+++ b/router/internal/sharedrate/ask.go
@@ -131,11 +131,7 @@
 		e.mu.Unlock()
 		return answer{Unreachable: true}
 	}
-	e.lastQuestion++
-	if e.lastQuestion == 0 {
-		e.lastQuestion++ // Zero marks messages that ask nothing.
-	}
-	number, q := e.lastQuestion, &question{home: home, answered: make(chan answer, 1)}
+	number, q := e.nextNumber(), &question{home: home, answered: make(chan answer, 1)}
 	e.questions[number] = q
 	e.mu.Unlock()
 	defer e.removeQuestion(number)
@@ -144,6 +140,15 @@
 	return e.await(ctx, q)
 }
 
+// nextNumber returns the number of the next question or place. The caller holds e.mu.
+func (e *Exchange) nextNumber() uint32 {
+	e.lastQuestion++
+	if e.lastQuestion == 0 {
+		e.lastQuestion++ // Zero marks messages that ask nothing.
+	}
+	return e.lastQuestion
+}
+
 // await waits for the answer to a question.
 func (e *Exchange) await(ctx context.Context, q *question) answer {
 	timer := time.NewTimer(answerTimeout)
--- a/router/internal/sharedrate/exchange.go
+++ b/router/internal/sharedrate/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -56,6 +57,10 @@
 	// block.
 	OnLeaving func(key Key, teller netip.AddrPort)
 
+	// OnBrittleness is told when another router, the teller, says that a server began or ended to
+	// be brittle. It must not block.
+	OnBrittleness func(key Key, said Brittleness, teller netip.AddrPort)
+
 	// ReportError is called with failures. It must not block.
 	ReportError func(error)
 
@@ -79,6 +84,9 @@
 	// on a request's path.
 	limited atomic.Int64
 
+	// brittleServers is the number of servers that are known to be brittle.
+	brittleServers atomic.Int64
+
 	// socket is open while Run runs.
 	socket *datagram.Socket
 
@@ -95,6 +103,22 @@
 	pending    map[Key]struct{}
 	announcing bool
 
+	// brittle are the statements on brittle servers, pendingBrittle those that are to be announced,
+	// and rooms the places of the servers of which this router is the home.
+	brittle        brittleness
+	pendingBrittle map[Key]struct{}
+	rooms          map[Key]*room
+
+	// takeoverTime is how long a new home gives no places, and greeted how often each router was told
+	// that this one has started.
+	takeoverTime time.Duration
+	greeted      map[netip.AddrPort]int
+
+	// leases are the places of this router's requests by their numbers, and placeQuestions the requests
+	// that wait for one.
+	leases         map[uint32]*lease
+	placeQuestions map[uint32]*placeQuestion
+
 	// questions are the questions that wait for a home's answer, by their numbers;
 	// lastQuestion is the number of the last one. silentUntil is until when homes that did
 	// not answer are not asked.
@@ -117,6 +141,14 @@
 		pending:     make(map[Key]struct{}),
 		questions:   make(map[uint32]*question),
 		silentUntil: make(map[netip.AddrPort]time.Duration),
+
+		brittle:        make(brittleness),
+		pendingBrittle: make(map[Key]struct{}),
+		rooms:          make(map[Key]*room),
+		leases:         make(map[uint32]*lease),
+		placeQuestions: make(map[uint32]*placeQuestion),
+		greeted:        make(map[netip.AddrPort]int),
+		lastQuestion:   rand.Uint32(), // Others may remember numbers of the process before.
 	}
 	e.synced.Store(!config.Address.IsValid())
 	return e
@@ -150,6 +182,7 @@
 	repeatAt := e.config.Clock() + repeatInterval
 	for {
 		now := e.refresh()
+		e.tickPlaces(now)
 		if now >= repeatAt {
 			repeatAt = now + repeatInterval
 			e.repeatLeaving(now)
@@ -192,6 +225,7 @@
 	defer e.mu.Unlock()
 	e.statements.dropExpired(now)
 	e.countLimited()
+	e.prunePlaces(now)
 	maps.DeleteFunc(e.buckets, func(_ Key, b *bucket) bool { return now-b.updatedAt > bucketTTL })
 	maps.DeleteFunc(e.wanted, func(_ Key, w *wanted) bool { return now-w.from > bucketTTL && !w.asking })
 	maps.DeleteFunc(e.silentUntil, func(_ netip.AddrPort, until time.Duration) bool { return now > until })
@@ -239,6 +273,13 @@
 // receive handles a message of another router.
 func (e *Exchange) receive(sender netip.AddrPort, data []byte) error {
 	now := e.config.Clock()
+	if len(data) > 0 && data[0] == placesKind {
+		m, err := decodePlaces(now, data)
+		if err == nil {
+			e.receivePlaces(now, sender, m)
+		}
+		return err
+	}
 	m, err := decode(now, data)
 	if err != nil {
 		return err
--- a/router/internal/sharedrate/fleet_test.go
+++ b/router/internal/sharedrate/fleet_test.go
@@ -218,7 +218,10 @@
 		OnChange:    func(sharedrate.Key, sharedrate.Statement, netip.AddrPort) {},
 		OnLeaving:   r.hearLeaving,
 		ReportError: func(error) {},
-		Listen:      func(context.Context, netip.AddrPort) (net.PacketConn, error) { return conn, nil },
+
+		OnBrittleness: func(sharedrate.Key, sharedrate.Brittleness, netip.AddrPort) {},
+
+		Listen: func(context.Context, netip.AddrPort) (net.PacketConn, error) { return conn, nil },
 	})
 	r.mu.Lock()
 	r.exchange, r.conn, r.kill, r.leaving = exchange, conn, cancel, make(map[sharedrate.Key]bool)
@@ -348,3 +351,10 @@
 	<-r.whenRunning()
 	exchange.Observe(serverKey, sharedrate.Statement{Limited: limited, PerSecond: limit}, sentAt)
 }
+
+// processContext returns a context that ends with the present process.
+func (r *router) processContext() context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.conn.ended
+}
--- a/router/internal/sharedrate/sharedrate.go
+++ b/router/internal/sharedrate/sharedrate.go
@@ -53,8 +53,10 @@
 	Wait  time.Duration
 	Level Level
 
-	// Unreachable says that the home did not answer.
+	// Unreachable says that the home did not answer. Unasked says that it was not asked now, as
+	// it did not answer lately.
 	Unreachable bool
+	Unasked     bool
 }
 
 const (
--- a/router/internal/sharedrate/sync.go
+++ b/router/internal/sharedrate/sync.go
@@ -41,9 +41,13 @@
 			all = append(all, keyedStatement{Key: key, Statement: s})
 		}
 	}
+	brittle := e.brittleStatements()
 	e.mu.Unlock()
 	for chunk := range slices.Chunk(all, maxStatementsPerMessage) {
 		e.sendAll(message{sentAt: now, Statements: chunk}, []netip.AddrPort{to})
 	}
+	for chunk := range slices.Chunk(brittle, maxStatementsPerMessage) {
+		e.sendPlaceMessage(placeMessage{Brittle: chunk}, []netip.AddrPort{to})
+	}
 	e.sendAll(message{Sync: syncAnswer, Routers: most}, []netip.AddrPort{to})
 }
--- a/router/internal/sharedrate/view.go
+++ b/router/internal/sharedrate/view.go
@@ -113,14 +113,15 @@
 	return share
 }
 
-// settled reports whether the router has been the home of a rate for so long that all
-// others know it.
-func (v *view) settled(now time.Duration, key Key, settle time.Duration) bool {
-	if now-v.since < settle {
+// settled reports whether the router has been the home of a rate for a time: for so long that all
+// others know it, if that is the time for which they may disagree.
+func (v *view) settled(now time.Duration, key Key, length time.Duration) bool {
+	if now-v.since < length {
 		return false
 	}
-	for _, set := range v.sets {
-		if home.Of(uint64(key), v.own, set.members) != v.own {
+	for i, set := range v.sets {
+		ended := i+1 < len(v.sets) && v.sets[i+1].from <= now-length
+		if !ended && home.Of(uint64(key), v.own, set.members) != v.own {
 			return false
 		}
 	}
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -120,6 +120,7 @@
 	target.usage.unanswered.Add(-1)
 	if err != nil {
 		p.relay.endContact(ctx, contact, err)
+		at.ending = sendErrorEnding(ctx, err)
 		result, err := p.handleSendError(ctx, reservation, target, err)
 		p.relay.logAtBrittle(target, result, p.written == 1)
 		return result, err
@@ -131,6 +132,7 @@
 	target.usage.answering.Add(1)
 	defer target.usage.answering.Add(-1)
 	result, err := p.relayResponse(response, reservation, watch)
+	at.ending = responseEnding(ctx, result, response.Status)
 	reservation.Done(time.Now(), p.placementOutcome(ctx, result, response))
 	p.relay.logAtBrittle(target, result, p.written == 1)
 	if result != notExecuted {
@@ -237,6 +239,7 @@
 				return placement.ErrLimited
 			}
 			p.sendDelay, p.sentAt = time.Since(p.chosenAt), p.relay.options.clock()
+			at.lease = p.relay.limits.Enter(target.usage.key, at.lease)
 			p.countLimited(target)
 			return nil
 		},
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -18,6 +18,10 @@
 	// before it counts as one that finds none.
 	maxPermitQuestions = 4
 
+	// maxSkipped is the number of servers up to which those don't count whose home is known not to
+	// answer.
+	maxSkipped = 16
+
 	// permitWaitFraction is the fraction of its target latency that a request which has
 	// not run waits for a permit. After that its caller is asked to retry. One that may
 	// have run waits for up to retryWait, as giving it up loses it.
@@ -49,6 +53,8 @@
 		SettleTime: func() time.Duration { return 2 * n.broadcaster.LiveTime() },
 		OnChange:   n.relay.logHeardLimit,
 		OnLeaving:  n.relay.hearLeaving,
+
+		OnBrittleness: n.relay.hearBrittleness,
 		ReportError: func(err error) {
 			n.log.RepeatedFailure(time.Now(), "limits", err).Msg("server limit not exchanged")
 		},
@@ -71,32 +77,60 @@
 }
 
 // pick reserves a place at a server that was not tried, with a permit if the server names a
-// limit. It reads only fields of the request that don't change during an attempt. If the
-// error is placement.ErrLimited, the choice has the time to wait for a permit.
+// limit and a place if it is brittle. It reads only fields of the request that don't change during an attempt. If the
+// error is placement.ErrLimited, the choice has the time to wait.
 func (p *proxiedRequest) pick(ctx context.Context, request placement.Request, tried []string) (*place, placement.Choice, error) {
-	for range maxPermitQuestions {
-		reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, tried)
+	var full []string
+	for questions := 0; questions < maxPermitQuestions; {
+		reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, append(full, tried...))
+		if err != nil && len(full) > 0 && errors.Is(err, placement.ErrNoServer) {
+			break
+		}
 		if err != nil {
 			return nil, choice, err
 		}
 		next := p.newPlace(reservation, choice)
 		target, ok := p.target(next)
-		if !ok || p.acquire(ctx, next, target, p.limitLevel(choice.Cached)) {
+		if !ok {
+			return next, choice, nil
+		}
+		denial, ok := p.acquire(ctx, next, target, 0)
+		if ok {
 			return next, choice, nil
 		}
+		if !denial.Unasked || len(full) >= maxSkipped {
+			questions++
+		}
+		if p.relay.needsPlace(target) {
+			full = append(full, target.ID)
+		}
 		reservation.Withdraw(time.Now())
 	}
 	return nil, placement.Choice{LimitWait: shortRetryDelay}, placement.ErrLimited
 }
 
-// acquire gets a permit for a place. If there is none, requests of that level are kept
-// from the server for a while.
-func (p *proxiedRequest) acquire(ctx context.Context, at *place, target *backendServer, level sharedrate.Level) bool {
+// acquire gets what a request needs to be sent to a server in need: a place if it is brittle, for which it may wait for a
+// time, and a permit if it names a limit. If there is none, requests of that level are
+// kept from the server for a while.
+func (p *proxiedRequest) acquire(ctx context.Context, at *place, target *backendServer, patience time.Duration) (denial sharedrate.Denial, ok bool) {
+	if p.relay.needsPlace(target) && !p.relay.limits.Holds(at.lease) {
+		if denial, ok := p.acquirePlace(ctx, at, target, patience); !ok {
+			return denial, false
+		}
+	}
+	level := p.limitLevel(at.choice.Cached)
 	permit, denial, ok := p.relay.limits.Acquire(ctx, target.usage.key, level)
 	if ok {
 		at.permit = permit
-		return true
+		return sharedrate.Denial{}, true
 	}
+	p.relay.releaseLease(at)
+	p.recordDenial(target, denial)
+	return denial, false
+}
+
+// recordDenial counts a denial and keeps requests of its level from the server for a while.
+func (p *proxiedRequest) recordDenial(target *backendServer, denial sharedrate.Denial) {
 	if denial.Unreachable {
 		p.relay.metrics.unanswered.Inc(1)
 	} else {
@@ -104,27 +138,29 @@
 	}
 	target.usage.limit.recordDenial()
 	p.relay.balancer.Withhold(target.ID, time.Now().Add(denial.Wait), float64(denial.Level))
-	return false
 }
 
-// mayUse reports whether the request may be written to a server now. A permit may have run
-// out since the server was chosen, or the server may have named its limit only then. A
-// request that may have run, or whose KV cache was copied there, waits for a permit.
+// mayUse reports whether the request may be written to a server now. A permit or a place may have run
+// out since the server was chosen, or the server may have said only then that it needs one. A
+// request that may have run, or whose KV cache was copied there, waits for it.
 func (p *proxiedRequest) mayUse(ctx context.Context, at *place, target *backendServer) bool {
-	if p.relay.limits.Usable(target.usage.key, at.permit) {
+	limits := p.relay.limits
+	if limits.Usable(target.usage.key, at.permit) && (!p.relay.needsPlace(target) || limits.Holds(at.lease)) {
 		return true
 	}
 	waitEnd := time.Now()
 	if p.executions > 0 || at.kvCopy.Handle != "" {
 		waitEnd = waitEnd.Add(retryWait)
 	}
-	for !p.acquire(ctx, at, target, p.limitLevel(at.choice.Cached)) {
+	for {
+		if _, ok := p.acquire(ctx, at, target, time.Until(waitEnd)); ok {
+			return true
+		}
 		if ctx.Err() != nil || time.Now().Add(retryPollInterval).After(waitEnd) {
 			return false
 		}
 		sleep(ctx, retryPollInterval)
 	}
-	return true
 }
 
 // awaitPermit waits for a place at a server whose limit is used up, as long as that is
@@ -136,6 +172,9 @@
 	if request.Admitted {
 		limit, tried = retryWait, nil
 	}
+	if p.relay.isBrittle(p.service) {
+		return p.awaitPlace(ctx, request, tried, limit)
+	}
 	waitEnd := time.Now().Add(min(limit, time.Until(p.deadline)-minAttemptTime))
 	for {
 		if ctx.Err() != nil || time.Now().Add(wait).After(waitEnd) {
@@ -190,6 +229,7 @@
 			sum += limit.PerSecond
 		}
 	}
+	sum += r.brittleRate(service)
 	if sum == 0 { // Servers rest, which says when all of them may come back.
 		return min(max(wait, shortRetryDelay), maxLimitDelay)
 	}
--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -18,8 +18,12 @@
 	// listAge is the age of the list of servers when the server was chosen.
 	listAge time.Duration
 
-	// permit allows to send the request to the server, if that names a limit.
+	// permit allows to send the request to the server, if that names a limit. lease is the
+	// request's place among those that all routers have there, from when it has one, and ending how it
+	// leaves it.
 	permit sharedrate.Permit
+	lease  sharedrate.Lease
+	ending placeEnding
 
 	// retryTakenAt is when a speculative retry was taken from the budget for it.
 	retryTakenAt time.Time
@@ -44,7 +48,9 @@
 
 // newPlace returns a place that was reserved now.
 func (p *proxiedRequest) newPlace(reservation *placement.Reservation, choice placement.Choice) *place {
-	return &place{reservation: reservation, choice: choice, chosenAt: time.Now(), listAge: p.relay.serversAge()}
+	at := &place{reservation: reservation, choice: choice, chosenAt: time.Now(), listAge: p.relay.serversAge()}
+	reservation.OnEnd(func() { p.relay.releaseLease(at) })
+	return at
 }
 
 // secureReplacement reserves what an attempt needs that replaces one at a silent
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -100,6 +100,9 @@
 	limits        *sharedrate.Exchange
 	limitRefusals *refusalPace
 
+	// brittleServices knows which services have brittle servers.
+	brittleServices brittleServices
+
 	index    atomic.Pointer[planIndex]
 	servers  atomic.Pointer[map[string]*backendServer]
 	inflight atomic.Int64
--- a/router/relay/servers.go
+++ b/router/relay/servers.go
@@ -42,6 +42,12 @@
 	// router.
 	restingUntil atomic.Int64
 
+	// listedAt is the time on the clock at which the server of this lifetime was first listed.
+	listedAt time.Duration
+
+	// heardAt is the time on the clock at which the request of the last response was sent.
+	heardAt atomic.Int64
+
 	// leavingSaid says that a response said that the server leaves.
 	leavingSaid atomic.Bool
 }
@@ -95,6 +101,7 @@
 		b, ok := old[id]
 		if !ok || !b.sameLifetime(s) {
 			b = &backendServer{pool: hop.NewPool(s.Address), usage: newServerUsage(s)}
+			b.usage.listedAt = r.options.clock()
 		}
 		_, corrected := outdated[id]
 		next[id] = &backendServer{Server: s, pool: b.pool, entryDraining: s.Draining && !corrected, usage: b.usage}
@@ -109,6 +116,7 @@
 	}
 	r.servers.Store(&next)
 	r.updateBalancer()
+	r.recallBrittleness()
 }
 
 // accepts reports whether a server that was chosen earlier still accepts new
--- a/router/relay/statements.go
+++ b/router/relay/statements.go
@@ -21,7 +21,7 @@
 	said := sharedrate.Statement{Limited: info.Limit.Named, PerSecond: info.Limit.PerSecond, Leaving: info.Leaving}
 	p.relay.limits.Observe(target.usage.key, said, p.sentAt)
 	p.relay.logNamedLimit(target, info.Limit)
-	p.relay.logBrittleness(target, info.Brittle)
+	p.relay.observeBrittleness(target, info.Brittle, p.sentAt)
 	if wait := restTime(response); wait > 0 {
 		p.relay.rest(target, wait)
 	}
