Show brittle servers in the state dump and the metrics

Cause: on-call engineers could see that servers are brittle in the log only. Change: the dump lists them with what they tolerate, the age of their word and the home of their places; the gauge brittle.known counts them. Conclusion: as with limits.

--- a/router/relay/brittle_test.go
+++ b/router/relay/brittle_test.go
@@ -99,6 +99,8 @@
 		s.brittle.Store(true)
 	}
 	r.hearBrittle(t, 2)
+	g.Expect(r.stateDump(t)["Brittle"]).To(gomega.HaveLen(2))
+	g.Expect(r.metrics(t)).To(gomega.ContainSubstring("brittle.known"))
 	g.Expect(r.callTogether(t, 40, 10, "/r/x")).To(gomega.Equal(map[int]int{http.StatusOK: 400}))
 	for _, s := range servers {
 		g.Expect(s.rejected.Load()).To(gomega.BeNumerically("<=", toleratedRejections))
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -72,6 +72,7 @@
 		"requests.inflight": n.relay.inProgress,
 		"log.lost":          n.log.DroppedLines,
 		"limits.known":      n.limits.Count,
+		"brittle.known":     n.limits.BrittleServers,
 		"servers.unheard":   n.relay.unheardMilliseconds,
 		"servers.reach":     func() int64 { return int64(n.uplink.State()) },
 		"quarantine.suspects": func() int64 {
@@ -138,6 +139,9 @@
 	// Limits are the limits that servers name.
 	Limits []limitState
 
+	// Brittle are the servers that say that they are brittle.
+	Brittle []brittleState
+
 	// Quarantine holds the verdicts on prompt parts, and Suspects the parts that
 	// crashes speak against.
 	Quarantine []quarantine.VerdictState
@@ -166,6 +170,7 @@
 		Suspects: n.quarantine.Ledger().SuspectStates(),
 	}
 	s.Limits = n.relay.limitStates()
+	s.Brittle = n.relay.brittleStates()
 	for _, v := range n.quarantine.Ledger().Verdicts() {
 		s.Quarantine = append(s.Quarantine, v.State())
 	}
