Ask no server again that denied the request

Cause: a denial was compared with the request's level without the part of its session, so that the balancer chose the same server four times. Change: a server that denied a request is excluded by its ID from the further choices of that request, whatever the levels; once four have denied it, only servers that need neither a permit nor a place are left to choose from. A refusal names the least of the waits that were heard. Ruled out: comparing both levels alike, which would leave the same trap to the next reason.

--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,17 +78,26 @@
 }
 
 // pick reserves a place at a server that was not tried, with a permit if the server names a
-// limit and a place if it is brittle. It reads only fields of the request that don't change during an attempt. If the
+// limit and a place if it is brittle. A server that denied the request is not asked again, and once several have, only
+// those are left that need neither. It reads only fields of the request that don't change during an attempt. If the
 // error is placement.ErrLimited, the choice has the time to wait.
 func (p *proxiedRequest) pick(ctx context.Context, request placement.Request, tried []string) (*place, placement.Choice, error) {
-	var full []string
-	for questions := 0; questions < maxPermitQuestions; {
-		reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, append(full, tried...))
-		if err != nil && len(full) > 0 && errors.Is(err, placement.ErrNoServer) {
-			break
+	var denied []string
+	wait := maxLimitDelay
+	for questions := 0; ; {
+		excluded := slices.Concat(tried, denied)
+		if questions >= maxPermitQuestions {
+			excluded = append(excluded, p.relay.serversInNeed(p.service)...)
 		}
-		if err != nil {
+		reservation, choice, err := p.relay.balancer.Pick(time.Now(), request, excluded)
+		switch {
+		case err != nil && (len(denied) == 0 || errors.Is(err, placement.ErrBusy)):
 			return nil, choice, err
+		case errors.Is(err, placement.ErrLimited):
+			wait = min(wait, choice.LimitWait)
+		}
+		if err != nil {
+			return nil, placement.Choice{LimitWait: wait}, placement.ErrLimited
 		}
 		next := p.newPlace(reservation, choice)
 		target, ok := p.target(next)
@@ -98,15 +108,24 @@
 		if ok {
 			return next, choice, nil
 		}
-		if !denial.Unasked || len(full) >= maxSkipped {
+		if !denial.Unasked || len(denied) >= maxSkipped {
 			questions++
 		}
-		if p.relay.needsPlace(target) {
-			full = append(full, target.ID)
-		}
+		denied = append(denied, target.ID)
+		wait = min(wait, denial.Wait)
 		reservation.Withdraw(time.Now())
 	}
-	return nil, placement.Choice{LimitWait: shortRetryDelay}, placement.ErrLimited
+}
+
+// serversInNeed returns the servers of a service that name a limit or need places.
+func (r *relay) serversInNeed(service string) []string {
+	var ids []string
+	for id, s := range *r.servers.Load() {
+		if s.Service == service && (r.limits.Limited(s.usage.key) || r.needsPlace(s)) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // acquire gets what a request needs to be sent to a server in need: a place if it is brittle, for which it may wait for a
--- a/router/relay/limits_test.go
+++ b/router/relay/limits_test.go
@@ -1,9 +1,11 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,6 +51,36 @@
 	g.Expect(backends[1].arrived.Load()).To(gomega.BeNumerically(">", 150))
 }
 
+// Guards against callers that are refused for a limited server that they were already denied, while
+// others have room: sessions that no server has cached go last, at each of several limited servers.
+func TestADeniedPermitMeansAnotherServer(t *testing.T) {
+	for _, limitedServers := range []int{1, 6} {
+		t.Run(fmt.Sprintf("%d limited", limitedServers), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			handlers := []http.HandlerFunc{slowly(respond("free"))}
+			for range limitedServers {
+				handlers = append(handlers, limited("8", respond("limited")))
+			}
+			r, _ := startNode(t, limitPlan(), handlers...)
+			var refused atomic.Int32
+			var calls sync.WaitGroup
+			for range 8 {
+				calls.Go(func() {
+					for i := range 60 {
+						time.Sleep(20 * time.Millisecond) // Permits come up meanwhile.
+						header := http.Header{partsHeader: {fmt.Sprintf("1,%x,%x", 100+i, 1000+i)}}
+						if r.callWith(t, http.MethodGet, "/r/x", "", nil, header).status != http.StatusOK {
+							refused.Add(1)
+						}
+					}
+				})
+			}
+			calls.Wait()
+			g.Expect(refused.Load()).To(gomega.BeZero())
+		})
+	}
+}
+
 // Guards against a limit that is hidden from the caller.
 func TestTheLimitOfAServerGoesThroughToTheCaller(t *testing.T) {
 	g := gomega.NewWithT(t)
