--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -239,7 +239,7 @@
 				return placement.ErrLimited
 			}
 			p.sendDelay, p.sentAt = time.Since(p.chosenAt), p.relay.options.clock()
-			at.lease = p.relay.limits.Enter(target.usage.key, at.lease)
+			at.lease = p.relay.limits.Enter(target.usage.placeKey, at.lease)
 			p.countLimited(target)
 			return nil
 		},
--- a/router/relay/brittle.go
+++ b/router/relay/brittle.go
@@ -87,7 +87,7 @@
 	if !brittle {
 		return false
 	}
-	if said, known := r.limits.Brittleness(s.usage.key); known && said.Brittle {
+	if said, known := r.limits.Brittleness(s.usage.placeKey); known && said.Brittle {
 		return true
 	}
 	if time.Duration(s.usage.heardAt.Load()) >= since {
@@ -108,7 +108,7 @@
 	if said.Named {
 		r.brittleServices.record(r.options.clock(), target.Service)
 	}
-	r.limits.ObserveBrittleness(target.usage.key, sharedrate.Brittleness{Brittle: said.Named, Tolerated: said.Tolerated}, sentAt)
+	r.limits.ObserveBrittleness(target.usage.placeKey, sharedrate.Brittleness{Brittle: said.Named, Tolerated: said.Tolerated}, sentAt)
 	target.usage.heardAt.Store(int64(sentAt))
 	r.logBrittleness(target, said)
 }
@@ -134,7 +134,7 @@
 		return
 	}
 	for _, s := range *r.servers.Load() {
-		if said, known := r.limits.Brittleness(s.usage.key); known && said.Brittle {
+		if said, known := r.limits.Brittleness(s.usage.placeKey); known && said.Brittle {
 			r.brittleServices.record(said.At, s.Service)
 		}
 	}
@@ -192,7 +192,7 @@
 
 // acquirePlace gets a place at a brittle server, for which the request may wait for a time.
 func (p *proxiedRequest) acquirePlace(ctx context.Context, at *place, target *backendServer, patience time.Duration) (sharedrate.Denial, bool) {
-	lease, denial, ok := p.relay.limits.AcquirePlace(ctx, target.usage.key, sharedrate.PlaceRequest{
+	lease, denial, ok := p.relay.limits.AcquirePlace(ctx, target.usage.placeKey, sharedrate.PlaceRequest{
 		Slots: max(target.Slots, 1), Opened: !p.relay.isBackInBrittleService(target), Level: sharedrate.Level(p.placementRequest.Level), Patience: max(patience, 0),
 	})
 	if !ok {
--- a/router/relay/brittle_log.go
+++ b/router/relay/brittle_log.go
@@ -127,10 +127,10 @@
 func (r *relay) brittleStates() []brittleState {
 	var states []brittleState
 	for _, s := range *r.servers.Load() {
-		if said, known := r.limits.Brittleness(s.usage.key); known && said.Brittle {
+		if said, known := r.limits.Brittleness(s.usage.placeKey); known && said.Brittle {
 			states = append(states, brittleState{
 				Server: s.ID, Service: s.Service, Tolerated: said.Tolerated, Age: r.options.clock() - said.At,
-				Home: r.limits.Home(s.usage.key).Addr().String(),
+				Home: r.limits.Home(s.usage.placeKey).Addr().String(),
 			})
 		}
 	}
--- a/router/relay/servers.go
+++ b/router/relay/servers.go
@@ -29,8 +29,10 @@
 // serverUsage counts the attempts in progress at a server: those without a
 // response yet, and those whose response has begun. limit and brittle are what it said of its need.
 type serverUsage struct {
-	// key names the limit of this lifetime of the server.
-	key sharedrate.Key
+	// key names the limit of this lifetime of the server. placeKey names its places: one that is back
+	// under its ID has the same ones, as some routers may still send to the lifetime before.
+	key      sharedrate.Key
+	placeKey sharedrate.Key
 
 	unanswered atomic.Int64
 	answering  atomic.Int64
@@ -54,7 +56,7 @@
 
 // newServerUsage returns the usage of a lifetime of a server.
 func newServerUsage(s Server) *serverUsage {
-	return &serverUsage{key: s.key()}
+	return &serverUsage{key: s.key(), placeKey: sharedrate.Key(xxhash.Sum64String(s.ID))}
 }
 
 // serverLifetime identifies one lifetime of a server, from its start to its end.
@@ -74,10 +76,10 @@
 // key identifies a lifetime of a server in what routers tell each other of it.
 func (s Server) key() sharedrate.Key { return sharedrate.Key(s.engineHash()) }
 
-// serverByKey returns the listed server of a lifetime, or nil.
+// serverByKey returns the listed server of a lifetime or of places, or nil.
 func (r *relay) serverByKey(key sharedrate.Key) *backendServer {
 	for _, s := range *r.servers.Load() {
-		if s.usage.key == key {
+		if s.usage.key == key || s.usage.placeKey == key {
 			return s
 		}
 	}
