--- a/router/internal/sharedrate/brittle.go
+++ b/router/internal/sharedrate/brittle.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -74,15 +75,28 @@
 		return
 	}
 	e.brittleServers.Store(e.brittle.count())
-	if e.brittleServers.Load() <= maxAnnounced {
-		e.pendingBrittle[key] = struct{}{}
-		e.scheduleAnnouncement()
-	}
+	others := e.announceBrittleness(key)
 	out := e.renewLeases(e.config.Clock(), func(l *lease) bool { return l.key == key })
 	e.mu.Unlock()
+	e.sendPlaceMessage(placeMessage{Brittle: []keyedBrittleness{{Key: key, Brittleness: said}}}, others)
 	e.sendPlaces(out)
 }
 
+// announceBrittleness returns the routers to tell of a change at once, as the next rejection may be
+// one too many. Where there are many routers, some are told soon instead, unless another one does it.
+// The caller holds e.mu.
+func (e *Exchange) announceBrittleness(key Key) []netip.AddrPort {
+	switch {
+	case e.brittleServers.Load() > maxAnnounced:
+		return nil
+	case len(e.view.members()) <= maxAnnouncedTo:
+		return slices.Clone(e.view.members())
+	}
+	e.pendingBrittle[key] = struct{}{}
+	e.scheduleAnnouncement()
+	return nil
+}
+
 // BrittleServers returns the number of servers that are known to be brittle.
 func (e *Exchange) BrittleServers() int64 { return e.brittleServers.Load() }
 
--- a/router/internal/sharedrate/brittle_test.go
+++ b/router/internal/sharedrate/brittle_test.go
@@ -409,3 +409,38 @@
 	}
 	f.apply(s)
 }
+
+// Guards against messages of a broken router that end this one, or take places for good.
+func TestMalformedMessagesAboutPlacesAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newBrittleFleet(t, 1, 3, 6, 4, 120, 0)
+		defer f.close()
+		f.begin(6, 3)
+		time.Sleep(time.Second)
+		for i := range 4000 {
+			data := make([]byte, 1+i%60)
+			for n := range data {
+				data[n] = byte(f.float() * 256)
+			}
+			data[0] = 0x50
+			f.routers[0].deliver(1, datagram{from: f.routers[1].address, data: data})
+			time.Sleep(time.Millisecond)
+		}
+		for _, text := range []string{
+			"\x50\x87\xf4\x87\x01\x05\x20\xf4\x03\x00\x00\xf6\xf6\xf6\xf6\xf6",                                     // -1 slots
+			"\x50\x87\xf4\xf6\xf6\xf6\xf6\xf6\x81\x84\x05\xf5\x20\x00",                                             // -1 rejections
+			"\x50\x87\xf4\xf6\xf6\xf6\xf6\xf6\x81\x84\x05\xf5\x03\x20",                                             // in the future
+			"\x50\x87\xf4\xf6\xf6\x81\x83\x1a\x00\x10\x00\x00\x07\x1b\x7f\xff\xff\xff\xff\xff\xff\xff\xf6\xf6\xf6", // for ever
+		} {
+			f.routers[0].deliver(1, datagram{from: f.routers[1].address, data: []byte(text)})
+		}
+		time.Sleep(time.Second)
+		_, known := f.routers[0].process().Brittleness(5)
+		g.Expect(known).To(gomega.BeFalse())
+		time.Sleep(4 * time.Second) // The longest lease.
+		g.Expect(f.use(3 * time.Second)).To(gomega.BeNumerically(">=", minBrittleUse))
+		falls, _, _ := f.sums()
+		g.Expect(falls).To(gomega.BeZero())
+	})
+}
