Give leases, pauses that servers ask for and the pace of refusals their own files

Cause: brittle.go, statements.go and limits.go of package relay held two concerns each, three tests of traffic the same list of sizes, and the exchange read its clock under its mutex in two new places, against its own rule. No change of what decides. Figures: the tests of router/relay and router/internal/sharedrate pass. Conclusion: none.

--- a/router/internal/sharedrate/brittle.go
+++ b/router/internal/sharedrate/brittle.go
@@ -65,9 +65,10 @@
 	if !said.Brittle && e.brittleServers.Load() == 0 {
 		return
 	}
+	now := e.config.Clock()
 	said.At = sentAt
 	if said.Brittle {
-		said.At = e.config.Clock()
+		said.At = now
 	}
 	e.mu.Lock()
 	if !e.brittle.apply(key, said) {
@@ -76,7 +77,7 @@
 	}
 	e.brittleServers.Store(e.brittle.count())
 	others := e.announceBrittleness(key)
-	out := e.renewLeases(e.config.Clock(), func(l *lease) bool { return l.key == key })
+	out := e.renewLeases(now, func(l *lease) bool { return l.key == key })
 	e.mu.Unlock()
 	e.sendPlaceMessage(placeMessage{Brittle: []keyedBrittleness{{Key: key, Brittleness: said}}}, others)
 	e.sendPlaces(out)
--- a/router/internal/sharedrate/lease.go
+++ b/router/internal/sharedrate/lease.go
@@ -151,6 +151,7 @@
 
 // giveUp ends a question whose request no longer waits. A place may have been given at the same moment.
 func (e *Exchange) giveUp(number uint32, q *placeQuestion, heard bool) (Denial, bool) {
+	now := e.config.Clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, waiting := e.placeQuestions[number]; !waiting && e.leases[number] != nil {
@@ -160,10 +161,10 @@
 	if heard {
 		return Denial{Wait: askingInterval}, false
 	}
-	e.silentUntil[q.home] = e.config.Clock() + silenceTime
+	e.silentUntil[q.home] = now + silenceTime
 	for number, other := range e.placeQuestions {
 		if other.home == q.home { // They wait in vain.
-			e.handlePlaceAnswer(0, placeAnswer{Number: number, State: placeDenied, Wait: silenceTime})
+			e.handlePlaceAnswer(now, placeAnswer{Number: number, State: placeDenied, Wait: silenceTime})
 		}
 	}
 	return Denial{Wait: silenceTime, Unreachable: true}, false
--- a/router/internal/sharedrate/leaving_test.go
+++ b/router/internal/sharedrate/leaving_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,11 +86,7 @@
 // leave at once, when each router names them again from time to time. With SNIPETALLY_MEASURE set it
 // runs at 400 routers too.
 func TestManyLeavingServersStayInTheBudgetOfTraffic(t *testing.T) {
-	sizes := []int{8, 80}
-	if os.Getenv("SNIPETALLY_MEASURE") != "" {
-		sizes = append(sizes, 400)
-	}
-	for _, routers := range sizes {
+	for _, routers := range trafficSizes() {
 		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
--- a/router/internal/sharedrate/sharedrate.go
+++ b/router/internal/sharedrate/sharedrate.go
@@ -10,6 +10,10 @@
 // heard not long ago, which may be on the other side of a partition. Whoever does not
 // reach the home has no permit.
 //
+// A server that says that it is brittle falls over if it rejects too many requests. The home of its places
+// gives no more of them than it has slots; a place is a lease that lasts until the request has
+// ended. What waits for a place waits there, by its level.
+//
 // What a server says of itself is a Statement: the limit that it names, and that it leaves. All routers learn from the first one
 // to hear it whether a limit is in force; the value matters to the home only. Statements
 // carry their age instead of a time, so that clocks need not agree. That a server leaves
--- a/router/internal/sharedrate/traffic_test.go
+++ b/router/internal/sharedrate/traffic_test.go
@@ -15,6 +15,15 @@
 // maxTraffic is the budget of a router for control, in bytes a second.
 const maxTraffic = 9000
 
+// trafficSizes returns the numbers of routers for which traffic is measured: those of the largest
+// installation only with SNIPETALLY_MEASURE set, as that takes long.
+func trafficSizes() []int {
+	if os.Getenv("SNIPETALLY_MEASURE") == "" {
+		return []int{8, 80}
+	}
+	return []int{8, 80, 400}
+}
+
 // trafficOf returns the bytes a second that the router with the highest number sends in
 // a time.
 func (f *fleet) trafficOf(length time.Duration) float64 {
@@ -55,11 +64,7 @@
 // limits at once. Each router has as many of them as in an installation of 400 routers and
 // 12,000 servers, and as many requests. With SNIPETALLY_MEASURE set it runs at 400 too.
 func TestManyLimitedServersStayInTheBudgetOfTraffic(t *testing.T) {
-	sizes := []int{8, 80}
-	if os.Getenv("SNIPETALLY_MEASURE") != "" {
-		sizes = append(sizes, 400)
-	}
-	for _, routers := range sizes {
+	for _, routers := range trafficSizes() {
 		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
--- a/router/relay/statements.go
+++ b/router/relay/statements.go
@@ -4,7 +4,6 @@
 	"maps"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"snipetally.example/router/internal/hop"
@@ -31,39 +30,6 @@
 	}
 }
 
-// maxRest bounds the time for which a server may ask for no requests.
-const maxRest = time.Hour
-
-// restTime returns for how long the server of a response wants no requests of this router, or
-// zero if it does not say so. Only a response that turns the request away does.
-func restTime(response *hop.Response) time.Duration {
-	if response.Status != http.StatusServiceUnavailable {
-		return 0
-	}
-	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-	if err != nil || !(seconds > 0) {
-		return 0 // It names none, or a date, which tells nothing without a common clock.
-	}
-	return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
-}
-
-// rest keeps requests of this router from a server for a time, as the server asked for that. The
-// key wait of the line holds the time in milliseconds. It speaks for this router only; others
-// are told by the server.
-func (r *relay) rest(target *backendServer, wait time.Duration) {
-	now := r.options.clock()
-	if last := target.usage.restingUntil.Swap(int64(now + wait)); time.Duration(last) < now {
-		r.options.log.StateChange().Str("server", target.ID).Str("service", target.Service).Dur("wait", wait).
-			Msg("backend server wants no requests")
-	}
-	r.balancer.Rest(target.ID, time.Now().Add(wait))
-}
-
-// rests reports whether the server wants no requests of this router now.
-func (r *relay) rests(target *backendServer) bool {
-	return r.options.clock() < time.Duration(target.usage.restingUntil.Load())
-}
-
 // hearLeaving records that another router says that a server leaves. The key teller of the line
 // holds that router.
 func (r *relay) hearLeaving(key sharedrate.Key, teller netip.AddrPort) {
