Tell eight instead of sixteen routers of the first brittle servers

Change: where there are more than 16 others, a router tells eight of them at random; up to 16 are told at once, as before. Conclusion: the others learn from servers, as before.

--- a/router/internal/sharedrate/brittle.go
+++ b/router/internal/sharedrate/brittle.go
@@ -12,9 +12,12 @@
 // know of a service that its servers may be brittle.
 const maxAnnounced = 8
 
-// maxAnnouncedTo is the number of routers that a router tells of a brittle server, at random if there
-// are more. The others learn of it from servers.
-const maxAnnouncedTo = 16
+// maxToldAtOnce is the number of other routers up to which all are told at once of a brittle server. Where
+// there are more, maxAnnouncedTo of them are told soon, at random. The others learn of it from servers.
+const (
+	maxToldAtOnce  = 16
+	maxAnnouncedTo = 8
+)
 
 // Brittleness is what was last said of how many requests a server can reject.
 type Brittleness struct {
@@ -90,7 +93,7 @@
 	switch {
 	case e.brittleServers.Load() > maxAnnounced:
 		return nil
-	case len(e.view.members()) <= maxAnnouncedTo:
+	case len(e.view.members()) <= maxToldAtOnce:
 		return slices.Clone(e.view.members())
 	}
 	e.pendingBrittle[key] = struct{}{}
