--- a/review/standin/restored_store.go
+++ b/review/standin/restored_store.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -108,35 +107,7 @@
 	var callers sync.WaitGroup
 	for i, r := range d.routers {
 		for _, key := range []string{"key-kept", "key-revoked"} {
-			callers.Go(func() {
-				client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
-				for n := 0; ; n++ {
-					select {
-					case <-stop:
-						return
-					case <-time.After(100 * time.Millisecond):
-					}
-					s := sent{attempt: fmt.Sprintf("%d-%s-%d", i, key, n), key: key, router: r.name, at: time.Now()}
-					request, err := http.NewRequest(http.MethodGet, "http://"+r.frontend()+"/cufi504/2f", nil)
-					if err != nil {
-						panic(err)
-					}
-					request.Host = "ficu95.example"
-					request.Header.Set("X-Attempt-Id", s.attempt)
-					request.Header.Set("X-Deadline-Ms", "1500")
-					request.Header.Set("X-Credential", key)
-					response, err := client.Do(request)
-					if err == nil {
-						_, _ = io.Copy(io.Discard, response.Body)
-						_ = response.Body.Close()
-						s.status = response.StatusCode
-					}
-					mu.Lock()
-					all = append(all, s)
-					mu.Unlock()
-					d.logf("%s: request %s sent at %.1f, answered %d", r.name, s.attempt, ms(d, s.at), s.status)
-				}
-			})
+			callers.Go(func() { d.call(r, fmt.Sprint(i), key, stop, &mu, &all) })
 		}
 	}
 	time.Sleep(calmTime)
