review: case 4, a runner that had left is used again after the store came back from a copy

Cause: a runner whose entry was removed is forgotten at once; an old entry that comes back with the store counts as a new server. Neither sequence nor Store-Era is looked at.

--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -3,12 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 )
 
-// callPause is the pause of a caller between two requests.
+// callPause is the mean pause of a caller between two requests.
 const callPause = 100 * time.Millisecond
 
 // call sends requests with a key to a router until stop is closed, and adds them to all.
@@ -18,10 +19,10 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(callPause):
+		case <-time.After(callPause/2 + rand.N(callPause)):
 		}
 		s := sent{attempt: fmt.Sprintf("%s-%s-%d", caller, key, n), key: key, router: r.name, at: time.Now()}
-		request, err := http.NewRequest(http.MethodGet, "http://"+r.frontend()+"/cufi504/2f", nil)
+		request, err := http.NewRequest(d.method(), "http://"+r.frontend()+"/cufi504/2f", nil)
 		if err != nil {
 			panic(err)
 		}
@@ -41,3 +42,11 @@
 		d.logf("%s: request %s sent at %.1f, answered %d", r.name, s.attempt, ms(d, s.at), s.status)
 	}
 }
+
+// method returns the method of requests.
+func (d *deployment) method() string {
+	if d.unsafe {
+		return http.MethodPost
+	}
+	return http.MethodGet
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -52,13 +52,16 @@
 
 	// logBeats says that the heartbeats of runners are recorded.
 	logBeats bool
-	dir      string
-	binary   string
-	root     string
-	host     string
-	store    *store
-	routers  []*router
-	key      string
+
+	// unsafe says that the requests may run once at most.
+	unsafe  bool
+	dir     string
+	binary  string
+	root    string
+	host    string
+	store   *store
+	routers []*router
+	key     string
 }
 
 // router is a router process.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(d *deployment) (broken bool, err error){
 	"restored-store":  playRestoredStore,
+	"back-entry":      playBackEntry,
 	"last-tenant":     playLastTenant,
 	"unframed-stream": playUnframedStream,
 }
--- a/review/standin/restored_store.go
+++ b/review/standin/restored_store.go
@@ -33,9 +33,14 @@
 
 // config returns a config of a version. idle routes are used by no request.
 func config(version, idle int, keys ...string) map[string]any {
+	return configOfKind("safe", version, idle, keys...)
+}
+
+// configOfKind returns a config whose routes are of a kind.
+func configOfKind(kind string, version, idle int, keys ...string) map[string]any {
 	route := func(name, prefix string) map[string]any {
 		return map[string]any{
-			"name": name, "host": "ficu95.example", "path-prefix": prefix, "kind": "safe", "timeout-ms": 1500,
+			"name": name, "host": "ficu95.example", "path-prefix": prefix, "kind": kind, "timeout-ms": 1500,
 			"target-latency-ms": 100, "priority": 2, "service": "wuno96b", "max-attempts": 2, "public": false,
 		}
 	}
