review: case 5, a stream goes on at a second runner while the first one works on it

Cause: router/relay/watchdog.go replaces a stream at a runner that it reaches 1.25 s after its last event, and only closes the connection. Change: review/5, with two runners that keep their requests.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 	"restored-store":  playRestoredStore,
 	"back-entry":      playBackEntry,
 	"last-tenant":     playLastTenant,
+	"silent-runner":   playSilentRunner,
 	"unframed-stream": playUnframedStream,
 }
 
