--- a/review/standin/silent_runner.go
+++ b/review/standin/silent_runner.go
@@ -24,13 +24,14 @@
 	stillAtWork = 400 * time.Millisecond
 )
 
-// keepingEngine is a stand-in for a model runner that does not notice when a connection closes: it
-// works on a request to its end.
+// keepingEngine is a stand-in for a model runner. Most drop a request when its connection closes; one
+// that keeps it works on it to its end.
 type keepingEngine struct {
 	*runner
 
 	// mu guards the fields below. silentUntil is until when the process stands still.
 	mu          sync.Mutex
+	keeps       bool
 	silentUntil time.Time
 	works       map[string]*work
 }
@@ -110,8 +111,14 @@
 		}
 		_, err := fmt.Fprintf(w, "id: %d\ndata: %s event %d of %d\n\n", n, attempt, n, silentEvents)
 		if flushErr := http.NewResponseController(w).Flush(); err != nil || flushErr != nil {
+			e.mu.Lock()
+			keeps := e.keeps
+			e.mu.Unlock()
+			e.d.logf("%s: run of %s: its connection is closed at event %d; the runner works on: %v", e.id, attempt, n, keeps)
+			if !keeps {
+				return
+			}
 			broken = true
-			e.d.logf("%s: run of %s: its connection is closed at event %d; the runner works on", e.id, attempt, n)
 		}
 	}
 	e.d.logf("%s: run of %s is done", e.id, attempt)
@@ -123,7 +130,7 @@
 	operator := &operator{d: d}
 	operator.put(resumableConfig(7))
 	var engines []*keepingEngine
-	for i := range 2 {
+	for i := range 3 {
 		e, err := d.startKeepingEngine(fmt.Sprintf("i-%d", i+1))
 		if err != nil {
 			return false, err
@@ -142,10 +149,10 @@
 		}
 	}
 	time.Sleep(silentAfter)
-	silent := engines[0]
-	if len(engines[1].works) > len(engines[0].works) {
-		silent = engines[1]
-	}
+	silent := mostWork(engines)
+	silent.mu.Lock()
+	silent.keeps = true
+	silent.mu.Unlock()
 	if d.trouble {
 		silent.mu.Lock()
 		silent.silentUntil = time.Now().Add(silence)
@@ -174,6 +181,20 @@
 	return twice > 0, nil
 }
 
+// mostWork returns the engine that has most requests.
+func mostWork(engines []*keepingEngine) *keepingEngine {
+	most, found := -1, engines[0]
+	for _, e := range engines {
+		e.mu.Lock()
+		n := len(e.works)
+		e.mu.Unlock()
+		if n > most {
+			most, found = n, e
+		}
+	}
+	return found
+}
+
 // countTwice returns the number of requests that went on at a runner while the one before still
 // worked on them some time later.
 func (d *deployment) countTwice(before, after *keepingEngine) int {
