--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin"
 mkdir -p ../bin
-GOWORK=off GOFLAGS=-buildvcs=false go build -o ../bin/standin .
+GOWORK=off GOFLAGS=-buildvcs=false go build -trimpath -o ../bin/standin .
--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -29,7 +29,9 @@
 		request.Host = "ficu95.example"
 		request.Header.Set("X-Attempt-Id", s.attempt)
 		request.Header.Set("X-Deadline-Ms", "1500")
-		request.Header.Set("X-Credential", key)
+		if key != "" {
+			request.Header.Set("X-Credential", key)
+		}
 		response, err := client.Do(request)
 		if err == nil {
 			_, _ = io.Copy(io.Discard, response.Body)
--- a/review/standin/last_tenant.go
+++ b/review/standin/last_tenant.go
@@ -28,7 +28,9 @@
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for i, r := range d.routers {
-		callers.Go(func() { d.call(r, fmt.Sprint(i), "key-revoked", stop, &mu, &all) })
+		for _, key := range []string{"key-revoked", "key-unknown", ""} {
+			callers.Go(func() { d.call(r, fmt.Sprint(i), key, stop, &mu, &all) })
+		}
 	}
 	time.Sleep(calmTime)
 	confirmed := time.Now()
@@ -44,13 +46,16 @@
 	time.Sleep(bound + watchTime)
 	close(stop)
 	callers.Wait()
-	statuses := make(map[int]int)
+	statuses := make(map[string]map[int]int)
 	before := 0
 	byAttempt := make(map[string]sent)
 	for _, s := range all {
 		byAttempt[s.attempt] = s
 		if s.at.After(confirmed.Add(bound)) {
-			statuses[s.status]++
+			if statuses[s.key] == nil {
+				statuses[s.key] = make(map[int]int)
+			}
+			statuses[s.key][s.status]++
 		} else if s.at.Before(confirmed) && s.status == http.StatusOK {
 			before++
 		}
@@ -59,13 +64,13 @@
 	for _, r := range runners {
 		for _, run := range r.allRuns() {
 			d.logf("run: %s at %s at %.1f for tenant %q", run.attempt, run.runner, ms(d, run.at), run.tenant)
-			if s, ok := byAttempt[run.attempt]; ok && s.at.After(confirmed.Add(bound)) {
+			if s, ok := byAttempt[run.attempt]; ok && s.key == "key-revoked" && s.at.After(confirmed.Add(bound)) {
 				late++
 			}
 		}
 	}
 	d.sayf("requests served before the change: %d", before)
-	d.sayf("answers to requests sent later than %s after the confirmation, by status: %v", bound, statuses)
+	d.sayf("answers to requests sent later than %s after the confirmation, by key and status: %v", bound, statuses)
 	d.sayf("runs of requests with the revoked key sent later than %s after the confirmation: %d", bound, late)
 	if before == 0 {
 		return false, errCannotRun{fmt.Errorf("no request was served")}
