--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the second review. It needs the standard library only.
+set -eu
+cd "$(dirname "$0")/standin-2"
+mkdir -p ../bin
+GOWORK=off GOFLAGS=-buildvcs=false go build -o ../bin/standin2 .
