--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -198,6 +198,7 @@
 	command.Dir = w.root
 	command.Env = []string{"SNIPETALLY_BOOT=" + path, "PATH=" + os.Getenv("PATH")}
 	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // It ends with this program in any case.
 	if err := command.Start(); err != nil {
 		fail(err)
 	}
