--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,7 +12,7 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(*world){
-	"entry": caseEntry, "drill": caseDrill, "regress": caseRegress, "stop": caseStop,
+	"entry": caseEntry, "drill": caseDrill, "regress": caseRegress, "stop": caseStop, "upload": caseUpload,
 }
 
 func main() {
