review: sounder stand-ins, and case 8 with a sound store

In case 8 the store turned a router away, so that the core may count as unstable, and rules with a time bound hold only for machines in touch. Runners wrote to a store that was away, and ignored their slots and deadlines. Case 9 did not check that its connections were kept.

Change: in case 8 the second router stands still for 1.2 s in place of that. Runners heed slots and deadlines, and get no confirmation from a store that is away.

--- a/review/standin-2/regress.go
+++ b/review/standin-2/regress.go
@@ -1,19 +1,31 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 )
 
 // caseRegress partitions one router from all runners, so that others run its requests. One of
-// those is turned away by the store while the operator moves a route to another service.
+// those stands still for a moment while the operator moves a route to another service.
 func caseRegress(w *world) {
+	const (
+		frozen = 1200 * time.Millisecond
+
+		// furtherRoutes is the number of routes that no request uses.
+		furtherRoutes = 350
+	)
 	for _, id := range []string{"i-1", "i-2"} {
 		w.startRunner(id, "plots").beat()
 		w.startRunner(id+"-new", "plots-new").beat()
 	}
 	moved := func(version int, service string) map[string]any {
-		return config(version, []map[string]any{route("status", "unsafe", service, nil)}, nil)
+		routes := []map[string]any{route("status", "unsafe", service, nil)}
+		for i := range furtherRoutes {
+			routes = append(routes, route(fmt.Sprintf("further-%d", i), "safe", "plots", nil))
+		}
+		return config(version, routes, nil)
 	}
 	w.store.put("op", "config", moved(1, "plots"))
 	w.addRouter(true) // Its links to the runners can be cut.
@@ -36,19 +48,21 @@
 		w.record("router %s is partitioned from all runners", first.ip)
 		first.cutFromRunners(true)
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(400 * time.Millisecond)
 	if w.trouble {
-		w.record("the store turns router %s away: it gets no answers", second.ip)
-		second.door.setSilent(true)
+		w.signal(second, syscall.SIGSTOP)
 	}
 	time.Sleep(100 * time.Millisecond)
 	w.store.put("op", "config", moved(2, "plots-new"))
 	w.record("the store confirms config 2, which moves the route to service plots-new")
-	time.Sleep(4 * time.Second)
+	time.Sleep(frozen - 100*time.Millisecond)
+	if w.trouble {
+		w.signal(second, syscall.SIGCONT)
+	}
+	time.Sleep(time.Second)
 	if w.trouble {
 		first.cutFromRunners(false)
-		second.door.setSilent(false)
-		w.record("both disruptions end")
+		w.record("the partition ends")
 	}
 	time.Sleep(3 * time.Second)
 	for _, s := range stopOthers {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -25,10 +26,14 @@
 	pause  time.Duration
 
 	mu       sync.Mutex
+	running  int
 	sequence int64
 	born     int64
 }
 
+// slots is the number of requests that a runner works on at once.
+const slots = 16
+
 // viaHeader holds the router that a consumer sent a request to.
 const viaHeader = "X-Via"
 
@@ -52,7 +57,7 @@
 	defer r.mu.Unlock()
 	r.sequence++
 	return map[string]any{
-		"service": r.service, "address": r.address, "zone": "hall-a", "version": "v1", "slots": 16, "state": state,
+		"service": r.service, "address": r.address, "zone": "hall-a", "version": "v1", "slots": slots, "state": state,
 		"cold-remaining-ms": 0, "sequence": r.sequence, "born": r.born,
 	}
 }
@@ -82,18 +87,52 @@
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return
 	}
+	if !r.take() {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.leave()
+	if ms, err := strconv.ParseFloat(q.Header.Get("X-Deadline-Ms"), 64); err == nil { // It stops work then.
+		ctx, cancel := context.WithTimeout(q.Context(), time.Duration(ms*float64(time.Millisecond)))
+		defer cancel()
+		q = q.WithContext(ctx)
+	}
 	r.world.noteRun(run{id: id, runner: r.id, service: r.service, tenant: q.Header.Get("X-Tenant"), via: q.Header.Get(viaHeader), at: time.Now()})
 	if q.Header.Get("X-Model") != "" {
 		r.stream(w, q)
 		return
 	}
-	time.Sleep(r.work)
+	select {
+	case <-time.After(r.work):
+	case <-q.Context().Done():
+		return
+	}
 	text := "answer of " + r.id + " to " + id
 	w.Header().Set("X-Response-Signature", fmt.Sprintf("%s.%d", r.id, len(text)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
 }
 
+// take takes a slot, and reports whether one was free. A sound runner would queue a few more requests;
+// no case comes near its slots.
+func (r *runner) take() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running >= slots {
+		return false
+	}
+	r.running++
+	return true
+}
+
+// leave frees a slot.
+func (r *runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
 // stream answers with events.
 func (r *runner) stream(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set("X-Response-Signature", r.id+".stream")
@@ -103,7 +142,7 @@
 		select {
 		case <-time.After(r.pause):
 		case <-q.Context().Done():
-			r.world.record("runner %s: run of %s ends, its connection was closed after event %d", r.id, q.Header.Get("X-Attempt-Id"), i-1)
+			r.world.record("runner %s: run of %s ends after event %d: %v", r.id, q.Header.Get("X-Attempt-Id"), i-1, q.Context().Err())
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
--- a/review/standin-2/stop.go
+++ b/review/standin-2/stop.go
@@ -85,10 +85,10 @@
 		switch {
 		case o.err == nil && o.status == http.StatusOK && got == events:
 			whole++
-		case o.status == http.StatusOK && o.err != nil:
+		case o.kept && o.status == http.StatusOK && o.err != nil:
 			cut++
 			runs := w.runsOf(o.id)
-			w.record("request %s, sent %v before SIGTERM, ran %d times; its connection was closed after event %d of %d", o.id, stopped.Sub(o.sentAt).Round(time.Millisecond), len(runs), got, events)
+			w.record("request %s, sent %v before SIGTERM, ran %d times; its connection, which was kept, was closed after event %d of %d", o.id, stopped.Sub(o.sentAt).Round(time.Millisecond), len(runs), got, events)
 		}
 	}
 	w.record("%d streams were whole, %d were cut", whole, cut)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -45,22 +45,22 @@
 	s.changed = make(chan struct{})
 }
 
-// put writes a row. When it returns, the store has acknowledged it.
-func (s *store) put(table, key string, value any) {
+// put writes a row and reports whether the store has acknowledged it. It does not while it is away.
+func (s *store) put(table, key string, value any) bool {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
-	s.write(row{Table: table, Key: key, Value: data})
+	return s.write(row{Table: table, Key: key, Value: data})
 }
 
-// remove removes a row.
-func (s *store) remove(table, key string) { s.write(row{Table: table, Key: key, Removed: true}) }
-
-// write applies a change.
-func (s *store) write(r row) {
+// write applies a change, unless the store is away.
+func (s *store) write(r row) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		return false
+	}
 	s.version++
 	r.Version = s.version
 	s.history = append(s.history, r)
@@ -71,6 +71,7 @@
 		s.rows[name] = r
 	}
 	s.notify()
+	return true
 }
 
 // storeCopy is a copy of the store, as a drill brings it back.
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -277,6 +278,9 @@
 	signed bool
 	body   string
 	err    error
+
+	// kept says that the connection had carried another request before.
+	kept bool
 }
 
 // request is a request of a consumer.
@@ -318,6 +322,8 @@
 	}
 	w.record("consumer sends %s %s to %s", o.id, q.path, r.ip)
 	client.Timeout = q.deadline + time.Second
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { o.kept = info.Reused }}
+	call = call.WithContext(httptrace.WithClientTrace(call.Context(), trace))
 	response, err := client.Do(call)
 	if err != nil {
 		o.err = err
