--- a/review/standin-3/brittle.go
+++ b/review/standin-3/brittle.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// stableWindow is the bound stable-window-ms.
+const stableWindow = 3 * time.Second
+
 const (
 	brittleSlots     = 4
 	brittleWork      = 100 * time.Millisecond
--- a/review/standin-3/caller.go
+++ b/review/standin-3/caller.go
@@ -24,10 +24,10 @@
 
 // callers send requests to the routers at a rate.
 type callers struct {
-	fleet *fleet
-	path  string
+	fleet  *fleet
+	path   string
 	method string
-	key   string
+	key    string
 
 	mu    sync.Mutex
 	calls []call
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -187,3 +187,19 @@
 
 // attemptID returns the ID of a new request.
 func attemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// setSeeds rewrites the seeds in the settings file of a router.
+func (f *fleet) setSeeds(r *router, seeds ...*router) {
+	data, _ := os.ReadFile(r.settings)
+	var all map[string]any
+	_ = json.Unmarshal(data, &all)
+	var list []string
+	for _, s := range seeds {
+		list = append(list, s.ip+":8229")
+	}
+	all["seeds"] = list
+	data, _ = json.Marshal(all)
+	_ = os.WriteFile(r.settings+".new", data, 0o600)
+	_ = os.Rename(r.settings+".new", r.settings)
+	f.note("settings of %s now have the seeds %v", r.name, list)
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,7 +17,7 @@
 )
 
 var plays = map[string]func(program, record string, trouble bool) int{
-	"rest": playRest, "limit": playLimit, "brittle": playBrittle, "poison": playPoison,
+	"rest": playRest, "brittle": playBrittle, "poison": playPoison,
 }
 
 func main() {
