--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../bin
 GOWORK=off GOFLAGS=-buildvcs=false go build -trimpath -o ../bin/standin2 .
+GOWORK=off GOFLAGS=-buildvcs=false go build -trimpath -o ../bin/standin2-fleet ./fleet
--- a/review/standin-3/main.go
+++ b/review/standin-2/fleet/main.go
@@ -1,5 +1,5 @@
-// Standin-3 plays the cases of the review: it starts a store, runners and consumers as
-// stand-ins, and routers as processes.
+// Standin2-fleet plays what the second review found with five routers that get requests: a store, runners
+// and consumers as the pages describe them, around real routers.
 package main
 
 import (
@@ -12,7 +12,7 @@
 	held    = 0
 	broken  = 1
 	unable  = 2
-	usage   = "standin-3 PLAY PROGRAM RECORD"
+	usage   = "standin2-fleet PLAY PROGRAM RECORD"
 	trouble = "TROUBLE"
 )
 
--- a/review/standin-3/poison.go
+++ b/review/standin-2/fleet/poison.go
@@ -10,6 +10,9 @@
 // poisonAway is how long a runner is away that crashed.
 const poisonAway = 2 * time.Second
 
+// poisonWork is how long a runner works on a sound request.
+const poisonWork = 100 * time.Millisecond
+
 // poisonPause is the time between two such requests.
 const poisonPause = 1500 * time.Millisecond
 
@@ -25,8 +28,17 @@
 	var mu sync.Mutex
 	var crashes []time.Time
 	var after []arrival
+	lost := 0
 	handle := func(r *runner, w http.ResponseWriter, q *http.Request) string {
 		if q.URL.Path != "/safe/poison" {
+			select {
+			case <-q.Context().Done():
+				mu.Lock()
+				lost++
+				mu.Unlock()
+				return "lost, running"
+			case <-time.After(poisonWork):
+			}
 			return serveSound(r, w, q)
 		}
 		mu.Lock()
@@ -71,7 +83,7 @@
 	for _, one := range calls {
 		statuses[one.status]++
 	}
-	text := fmt.Sprintf("crashes %d; later than %v after the third: %d, allowed 3; other requests %v", len(crashes), stableWindow, n, statuses)
+	text := fmt.Sprintf("crashes %d; later than %v after the third: %d, allowed 3; sound runs lost %d; their answers %v", len(crashes), stableWindow, n, lost, statuses)
 	f.note("%s", text)
 	fmt.Println(text)
 	if n > 3 {
