review/9: a request that crashes runners reaches them from each group of routers

It takes the place of the case about streams that were handed over and are cut by a planned stop; its play stays in standin-2.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,5 +4,5 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
 cd "$root" || exit 2
-[ -x target/snipetally ] && [ -x review/bin/standin2 ] || exit 2
-exec timeout --preserve-status -k 4 115 review/bin/standin2 -case stop -root "$root" -record "$here/record.txt"
+[ -x target/snipetally ] && [ -x review/bin/standin2-fleet ] || exit 2
+exec timeout --preserve-status -k 4 115 review/bin/standin2-fleet poison "$root/target/snipetally" "$here/record.txt"
