review/standin-2: a brittle runner that keeps the order of what waits

Cause: a wake-up could be lost between a look at the slots and the wait, and a request could take the slot that another one waited for, so that the stand-in was no sound runner. A runner that crashed twice at once would have listened twice, and a play that was told to end left its folder. Change: a queue in order, one crash a lifetime, a handler for signals.

--- a/review/standin-2/fleet/brittle.go
+++ b/review/standin-2/fleet/brittle.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,10 +31,9 @@
 	mu         sync.Mutex
 	since      time.Time // When it began to be brittle.
 	running    int
-	waiting    int
+	queue      []chan struct{} // Requests that wait for a slot, in order; each is closed as it gets one.
 	away       bool
 	fallen     chan struct{}
-	free       chan struct{}
 	rejections []time.Time
 	falls      int
 	lost       int
@@ -51,78 +51,92 @@
 	_ = conn.Close()
 }
 
+// handle works on a request, or turns it away.
 func (b *brittleRunner) handle(r *runner, w http.ResponseWriter, q *http.Request) string {
+	fallen, refusal := b.enter(w, q)
+	if refusal != "" {
+		return refusal
+	}
+	lost := false
+	select {
+	case <-fallen:
+		lost = true
+	case <-q.Context().Done(): // The router has closed the connection.
+	case <-time.After(brittleWork):
+	}
+	b.leave(lost)
+	if lost {
+		reset(w)
+		return "reset, running"
+	}
+	return serveSound(r, w, q)
+}
+
+// enter takes a slot, and waits for one if there is room to wait. It returns a channel that is closed when the runner falls
+// over, or what became of the request otherwise.
+func (b *brittleRunner) enter(w http.ResponseWriter, q *http.Request) (fallen chan struct{}, refusal string) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.away {
-		b.mu.Unlock()
 		reset(w)
-		return "reset, away"
+		return nil, "reset, away"
 	}
 	brittle := !b.since.IsZero()
 	if brittle {
 		w.Header().Set("Server-Brittle", fmt.Sprint(brittleTolerated))
 	}
-	fallen := b.fallen
-	if b.running >= brittleSlots {
-		room := soundQueue
-		if brittle && time.Since(b.since) > stableWindow {
-			room = brittleQueue
-		}
-		if b.waiting >= room {
-			fell := b.reject()
-			b.mu.Unlock()
-			if fell {
-				reset(w)
-				return "turned away, fell over"
-			}
-			w.Header().Set("X-Not-Executed", "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return "503, turned away"
-		}
-		b.waiting++
-		b.mu.Unlock()
-		select {
-		case <-b.free:
-		case <-fallen:
-		case <-q.Context().Done():
-		}
-		b.mu.Lock()
-		b.waiting--
-		select {
-		case <-fallen:
-			b.mu.Unlock()
+	fallen = b.fallen
+	if b.running < brittleSlots {
+		b.running++
+		return fallen, ""
+	}
+	room := soundQueue
+	if brittle && time.Since(b.since) > stableWindow {
+		room = brittleQueue
+	}
+	if len(b.queue) >= room {
+		if b.reject() {
 			reset(w)
-			return "reset, waiting"
-		default:
-		}
-		if q.Context().Err() != nil {
-			b.mu.Unlock()
-			return "left, waiting"
+			return nil, "turned away, fell over"
 		}
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return nil, "503, turned away"
 	}
-	b.running++
+	turn := make(chan struct{})
+	b.queue = append(b.queue, turn)
 	b.mu.Unlock()
-	result := ""
 	select {
+	case <-turn:
 	case <-fallen:
-		result = "reset, running"
-	case <-time.After(brittleWork):
+	case <-q.Context().Done():
 	}
 	b.mu.Lock()
-	b.running--
-	if result != "" {
-		b.lost++
+	i := slices.Index(b.queue, turn)
+	if i < 0 && fallen == b.fallen && !b.away {
+		return fallen, "" // It has the slot of one that left.
 	}
-	b.mu.Unlock()
-	select {
-	case b.free <- struct{}{}:
-	default:
+	if i >= 0 {
+		b.queue = slices.Delete(b.queue, i, i+1)
 	}
-	if result != "" {
-		reset(w)
-		return result
+	reset(w)
+	return nil, "reset or left, waiting"
+}
+
+// leave gives the slot to the request that has waited longest, or back. lost says that the runner fell over.
+func (b *brittleRunner) leave(lost bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if lost {
+		b.lost++
+		return // The slots of that lifetime are gone.
 	}
-	return serveSound(r, w, q)
+	if len(b.queue) > 0 {
+		close(b.queue[0])
+		b.queue = b.queue[1:]
+		return
+	}
+	b.running--
 }
 
 // reject counts a request that is turned away, and reports whether the runner falls over. The caller
@@ -143,7 +157,7 @@
 	b.crash(brittleAway, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.away, b.fallen, b.rejections, b.free = false, make(chan struct{}), nil, make(chan struct{})
+		b.away, b.fallen, b.rejections, b.running, b.queue = false, make(chan struct{}), nil, 0, nil
 	})
 	return true
 }
@@ -204,7 +218,7 @@
 	f.store.put("op", "config", plan(1, "key-1"))
 	var runners []*brittleRunner
 	for i := range 3 {
-		b := &brittleRunner{fallen: make(chan struct{}), free: make(chan struct{})}
+		b := &brittleRunner{fallen: make(chan struct{})}
 		r, err := f.newRunner(fmt.Sprintf("r-%d", i+1), "app", b.handle)
 		if err != nil {
 			return unable
--- a/review/standin-2/fleet/fleet.go
+++ b/review/standin-2/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -51,6 +52,13 @@
 		"max-skew-ms": 5000, "strict-revocation": true, "revocation-ms": 5000, "retry-ratio": 0.2, "retry-window-s": 10,
 		"retry-extra": 58, "recovery-s": 12, "pass-ms": 120, "retry-after-s": 10,
 	}}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		_ = os.RemoveAll(dir)
+		os.Exit(unable) // The routers are killed with this process.
+	}()
 	f.host = f.freeHost()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/review/standin-2/fleet/runner.go
+++ b/review/standin-2/fleet/runner.go
@@ -30,6 +30,7 @@
 	server   *http.Server
 	address  string
 	born     int64
+	crashed  bool
 	arrivals []arrival
 
 	// handle answers a request that is for this runner, and returns what it did.
@@ -64,8 +65,12 @@
 // is back under its ID and address, in a new lifetime.
 func (r *runner) crash(away time.Duration, back func()) {
 	r.mu.Lock()
-	server := r.server
+	server, already := r.server, r.crashed
+	r.crashed = true
 	r.mu.Unlock()
+	if already {
+		return
+	}
 	r.fleet.note("runner %s crashes", r.id)
 	go func() { _ = server.Close() }()
 	time.AfterFunc(away, func() {
@@ -76,7 +81,7 @@
 			}
 		}
 		r.mu.Lock()
-		r.born = time.Now().UnixMilli()
+		r.born, r.crashed = time.Now().UnixMilli(), false
 		r.mu.Unlock()
 		back()
 		r.serve(l)
