--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -140,6 +140,7 @@
 	p.relay.logAtBrittle(target, result, p.written == 1)
 	if result != notExecuted {
 		p.countExecution()
+		p.runStopped = false
 	}
 	if result == answered || result == serverError {
 		p.relay.quarantine.ReportEnd(p.run)
--- a/router/relay/callers.go
+++ b/router/relay/callers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -142,6 +143,29 @@
 	silent      bool
 	silentSince time.Time
 	closing     bool
+
+	// ending is the error with which reading ended, or nil.
+	ending error
+}
+
+// callerConnKey is the key of a request's context for its callerConn.
+type callerConnKey struct{}
+
+// withCallerConn adds the connection of a caller to the context of its requests.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// callerEnding returns the error with which reading from the caller of a request ended, or nil
+// if it goes on or the request did not come from a caller.
+func callerEnding(ctx context.Context) error {
+	conn, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return nil
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.ending
 }
 
 // recordState is the hook of the server for changes of a connection's state.
@@ -188,6 +212,9 @@
 	if n > 0 && c.silent {
 		c.setSilent(false)
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ending = err
+	}
 	return n, err
 }
 
--- a/router/relay/listen.go
+++ b/router/relay/listen.go
@@ -70,6 +70,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          n.log.StdLogger(),
 		ConnState:         recordState,
+		ConnContext:       withCallerConn,
 	}
 	group.Add(func() error {
 		err := server.Serve(listener)
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -89,6 +89,13 @@
 	p.addRequestFields(p.relay.options.log.Request(time.Now(), nil)).Int("status", status).Str("reason", reason).Msg("request ended")
 }
 
+// logAbandoned logs a request whose caller left. The key error holds how reading from the
+// caller's connection ended, unless another router handed the request over.
+func (p *proxiedRequest) logAbandoned() {
+	event := p.addRequestFields(p.relay.options.log.Request(time.Now(), nil))
+	event.AnErr("error", callerEnding(p.request.Context())).Int("status", 0).Str("reason", "caller left").Msg("request ended")
+}
+
 // logServed logs a request that was served late or after several attempts. The
 // keys first and gap hold the time from its arrival to the first byte of the
 // response and the longest pause between events, both in milliseconds, and
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -32,7 +32,8 @@
 	// those for which no home answered. probes counts the health checks by which the links
 	// to the servers are judged. handovers counts the requests that another router took,
 	// handoversDeclined the offers that one did not take, and handedOver the requests of
-	// other routers that this one took.
+	// other routers that this one took. stranded counts the runs that were stopped for a migration and
+	// did not go on.
 	requests    metrics.Counter
 	served      metrics.Counter
 	refused     metrics.Counter
@@ -40,6 +41,7 @@
 	abandoned   metrics.Counter
 	retries     metrics.Counter
 	resumed     metrics.Counter
+	stranded    metrics.Counter
 	silent      metrics.Counter
 	crashes     metrics.Counter
 	quarantined metrics.Counter
@@ -105,6 +107,7 @@
 		abandoned:   metrics.GetOrRegisterCounter("requests.abandoned", registry),
 		retries:     metrics.GetOrRegisterCounter("attempts.repeated", registry),
 		resumed:     metrics.GetOrRegisterCounter("attempts.resumed", registry),
+		stranded:    metrics.GetOrRegisterCounter("migrations.stranded", registry),
 		silent:      metrics.GetOrRegisterCounter("attempts.silent", registry),
 		quarantined: metrics.GetOrRegisterCounter("requests.quarantined", registry),
 		crashes:     metrics.GetOrRegisterCounter("servers.crashed", registry),
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -34,6 +34,11 @@
 type migrationResult struct {
 	*place
 	err error
+
+	// copyTime is how long the KV cache was copied while the run went on, and stopTime how long
+	// the engine took to stop the run and to copy the rest, or zero if it was not ordered to.
+	copyTime time.Duration
+	stopTime time.Duration
 }
 
 // migrateStreams migrates streams off a server that drains or is gone, after a
@@ -103,7 +108,9 @@
 // concurrently with the goroutine that serves the request, which learns the
 // outcome when the stream at the old server is cut off. The line that it logs
 // holds the IDs of the old and the new server in the keys from and to; to is
-// empty if there is no other server.
+// empty if there is no other server. The keys known, copied and stopped hold for how
+// long the server was known to leave, and the times of the copying before and after the
+// order to stop the run, in milliseconds.
 func (p *proxiedRequest) migrateFrom(server leavingServer) {
 	r := p.relay
 	results := r.streams.beginMigration(p, server.ID)
@@ -119,7 +126,8 @@
 	}
 	results <- migration
 	r.options.log.StateChange().Str("request", p.info.AttemptID).Str("from", server.ID).Str("to", migration.choice.Server).
-		AnErr("error", migration.err).Msg("stream migration ended")
+		AnErr("error", migration.err).Dur("known", time.Since(server.since)).Dur("copied", migration.copyTime).
+		Dur("stopped", migration.stopTime).Msg("stream migration ended")
 }
 
 // migrationDeadline returns until when the copying of the KV cache is awaited.
@@ -156,6 +164,7 @@
 	}
 	request := MigrationRequest{AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address}
 	migration.err = p.copyRun(ctx, request)
+	migration.copyTime = time.Since(takenAt)
 	if migration.err == nil && !r.streams.orderStop(p) {
 		migration.err = fmt.Errorf("%w: its stream has ended", errNotMigrated)
 	}
@@ -164,7 +173,9 @@
 		p.giveBack(takenAt, r.retryBudget.Return)
 		return migration
 	}
+	stoppedAt := time.Now()
 	migration.kvCopy, migration.err = r.options.migrator.Migrate(ctx, request)
+	migration.stopTime = time.Since(stoppedAt)
 	if migration.err == nil && migration.kvCopy.Handle == "" {
 		migration.err = fmt.Errorf("%w: engine named no copy", errNotMigrated)
 	}
@@ -188,7 +199,8 @@
 // server that has the copy of its KV cache or, if the migration failed, the server
 // where the run stopped. It returns nil if there is neither.
 func (p *proxiedRequest) awaitMigration(ctx context.Context) *place {
-	results := p.relay.streams.takeMigration(p)
+	results, stopOrdered := p.relay.streams.takeMigration(p)
+	p.runStopped = p.runStopped || stopOrdered
 	if results == nil {
 		return nil
 	}
@@ -229,7 +241,7 @@
 // dropMigration discards a migration that is still in progress when the request
 // ends.
 func (p *proxiedRequest) dropMigration() {
-	if results := p.relay.streams.takeMigration(p); results != nil {
+	if results, _ := p.relay.streams.takeMigration(p); results != nil {
 		go discardMigration(results)
 	}
 }
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -105,6 +105,9 @@
 	// migrated.
 	kvCopy KVCopy
 
+	// runStopped says that the run of the request was stopped for a migration and has not gone on.
+	runStopped bool
+
 	// retryAfter is how much later the caller is asked to retry if the request is
 	// refused for lack of a server.
 	retryAfter time.Duration
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -203,7 +203,7 @@
 func (p *proxiedRequest) abortAbandoned() {
 	p.count(p.relay.metrics.abandoned)
 	p.countClass(func(c *classMetrics) metrics.Counter { return c.abandoned })
-	p.logUnserved(0, "caller left")
+	p.logAbandoned()
 	panic(http.ErrAbortHandler) // Nobody reads the response.
 }
 
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -78,6 +78,10 @@
 		next, reason = p.retry(ctx, result)
 	}
 	if next == nil {
+		if p.runStopped {
+			p.relay.metrics.stranded.Inc(1)
+			reason = errRunStopped.Error() + ": " + reason
+		}
 		p.logLastAttempt(result, err)
 		p.finishUnanswered(ctx, reason)
 		return nil
--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -51,12 +51,12 @@
 	s.open[p] = &streamState{server: server, addedAt: time.Now()}
 }
 
-// remove unregisters an attempt, unless a migration was started. In that case
-// takeMigration does so.
+// remove unregisters an attempt, unless a migration was started or its engine was ordered to
+// stop it. In these cases takeMigration does so.
 func (s *streamRegistry) remove(p *proxiedRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isMigrating(p) {
+	if state, ok := s.open[p]; ok && state.migration == nil && !state.stopOrdered {
 		delete(s.open, p)
 	}
 }
@@ -76,16 +76,17 @@
 }
 
 // takeMigration unregisters the attempt and returns the channel for the result
-// of its migration, or nil if none was started.
-func (s *streamRegistry) takeMigration(p *proxiedRequest) chan migrationResult {
+// of its migration, or nil if none is in progress. stopOrdered says that the engine was or will
+// be ordered to stop the run.
+func (s *streamRegistry) takeMigration(p *proxiedRequest) (migration chan migrationResult, stopOrdered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state, ok := s.open[p]
 	if !ok {
-		return nil
+		return nil, false
 	}
 	delete(s.open, p)
-	return state.migration
+	return state.migration, state.stopOrdered
 }
 
 // startedOn returns the streams on a server that have sent events, are not being
