--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -102,19 +102,21 @@
 	return result, watch.finish(), err
 }
 
-// target returns the server of a place, and false if it is gone.
+// target returns the server of a place, and false if it is gone. One that a run was migrated
+// to or stopped at may have left the list, and then has a pool of its own.
 func (p *proxiedRequest) target(at *place) (*backendServer, bool) {
-	if at.atSource {
-		return at.source.backendServer(), true
-	}
 	target, ok := (*p.relay.servers.Load())[at.choice.Server]
+	at.reopened = at.server != nil && (!ok || target.usage != at.server.usage)
+	if at.reopened {
+		return at.server.reopened(), true
+	}
 	return target, ok
 }
 
 // exchange makes the exchange of an attempt with a server.
 func (p *proxiedRequest) exchange(ctx context.Context, at *place, target *backendServer, watch *watchdog) (attemptResult, error) {
 	reservation := at.reservation
-	if at.atSource {
+	if at.reopened {
 		defer target.pool.Close()
 	}
 	target.usage.unanswered.Add(1)
@@ -256,10 +258,7 @@
 
 // mayWrite reports whether a request may still be sent to the server of a place.
 func (p *proxiedRequest) mayWrite(at *place, target *backendServer) bool {
-	if at.atSource {
-		return time.Now().Before(at.source.returnEnd())
-	}
-	return p.relay.accepts(target)
+	return p.relay.accepts(target) || at.kvCopy.Handle != "" && p.relay.takesStoppedRuns(target)
 }
 
 // teamName returns the name of the caller's team, or an empty string.
--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -25,8 +25,18 @@
 	migrationTimeout = 1500 * time.Millisecond
 )
 
-// errNotMigrated means that a run could not be migrated.
-const errNotMigrated = errors.ConstError("run not migrated")
+const (
+	// errNotMigrated means that a run could not be migrated.
+	errNotMigrated = errors.ConstError("run not migrated")
+
+	// errDestinationLeaves means that a server began to leave while the KV cache of a run that
+	// goes on was copied to it.
+	errDestinationLeaves = errors.ConstError("destination is leaving")
+
+	// maxDestinations is the number of servers to which the KV cache of a run that goes on is copied
+	// one after the other.
+	maxDestinations = 3
+)
 
 // migrationResult is the result of a migration: the place where the run goes on,
 // or an error. The place is never nil. On an error it holds the copy of the KV
@@ -45,19 +55,19 @@
 // delay in which short streams end. If the server accepts requests again by
 // then, as its entry was gone for a moment only, its streams stay. Whether a
 // stream can be migrated depends on the plan that it began with.
-func (r *relay) migrateStreams(server Server) {
+func (r *relay) migrateStreams(server *backendServer) {
 	if r.options.migrator == nil {
 		return
 	}
-	leaving := leavingServer{Server: server, since: time.Now(), drain: r.bounds.Load().DrainTimeout}
+	leaving := leavingServer{backendServer: server, since: time.Now(), drain: r.bounds.Load().DrainTimeout}
 	since, drain := leaving.since, leaving.drain
 	var migrate func()
 	migrate = func() {
-		if r.acceptsAgain(server) {
+		if r.acceptsAgain(server.Server) {
 			return
 		}
 		for p, state := range r.streams.startedOn(server.ID) {
-			if r.startedAgain(server) && state.addedAt.After(since) {
+			if r.startedAgain(server.Server) && state.addedAt.After(since) {
 				continue // In the new lifetime of the server.
 			}
 			service, ok := p.index.servicesByName[server.Service]
@@ -140,12 +150,25 @@
 	return p.deadline
 }
 
-// migrate picks another server and has the KV cache of the run copied there, first
+// migrate migrates the run to another server. If that begins to leave before the run is stopped, it
+// tries a further one.
+func (p *proxiedRequest) migrate(ctx context.Context, server Server) migrationResult {
+	tried := []string{server.ID}
+	for {
+		migration := p.migrateAround(ctx, server, tried)
+		tried = append(tried, migration.choice.Server)
+		if !errors.Is(migration.err, errDestinationLeaves) || len(tried) > maxDestinations {
+			return migration
+		}
+	}
+}
+
+// migrateAround picks a server that was not tried and has the KV cache of the run copied there, first
 // while the run goes on, so that it is not stopped if there is no room for it. It
 // takes a retry from the budget once the server is found.
-func (p *proxiedRequest) migrate(ctx context.Context, server Server) migrationResult {
+func (p *proxiedRequest) migrateAround(ctx context.Context, server Server, tried []string) migrationResult {
 	r := p.relay
-	next, choice, err := p.pick(ctx, p.placementRequest, []string{server.ID})
+	next, choice, err := p.pick(ctx, p.placementRequest, tried)
 	if err != nil {
 		return migrationResult{place: &place{}, err: fmt.Errorf("%w: %w", errNotMigrated, err)}
 	}
@@ -156,6 +179,7 @@
 		migration.err = fmt.Errorf("%w: server %s gone", errNotMigrated, choice.Server)
 		return migration
 	}
+	next.server = target
 	takenAt := time.Now()
 	if !p.take(takenAt, r.retryBudget.Take) {
 		reservation.Done(takenAt, placement.Canceled)
@@ -165,6 +189,9 @@
 	request := MigrationRequest{AttemptID: p.info.AttemptID, Source: server.Address, Destination: target.Address}
 	migration.err = p.copyRun(ctx, request)
 	migration.copyTime = time.Since(takenAt)
+	if migration.err == nil && !r.accepts(target) {
+		migration.err = errDestinationLeaves
+	}
 	if migration.err == nil && !r.streams.orderStop(p) {
 		migration.err = fmt.Errorf("%w: its stream has ended", errNotMigrated)
 	}
@@ -199,13 +226,13 @@
 // server that has the copy of its KV cache or, if the migration failed, the server
 // where the run stopped. It returns nil if there is neither.
 func (p *proxiedRequest) awaitMigration(ctx context.Context) *place {
-	results, stopOrdered := p.relay.streams.takeMigration(p)
-	p.runStopped = p.runStopped || stopOrdered
+	results := p.relay.streams.takeMigration(p)
 	if results == nil {
 		return nil
 	}
 	select {
 	case migration := <-results:
+		p.runStopped = true
 		if migration.err != nil {
 			return p.placeAtSource(migration.place)
 		}
@@ -241,7 +268,7 @@
 // dropMigration discards a migration that is still in progress when the request
 // ends.
 func (p *proxiedRequest) dropMigration() {
-	if results, _ := p.relay.streams.takeMigration(p); results != nil {
+	if results := p.relay.streams.takeMigration(p); results != nil {
 		go discardMigration(results)
 	}
 }
--- a/router/relay/migration_return.go
+++ b/router/relay/migration_return.go
@@ -7,31 +7,36 @@
 	"snipetally.example/router/internal/placement"
 )
 
-const (
-	// returnFraction is the fraction of the drain timeout, from when the router
-	// learned that a server leaves, in which a run may go back to that server.
-	// The rest covers the time for which the list of servers may have been
-	// outdated, and returnMargin the way of the request.
-	returnFraction = 0.5
-	returnMargin   = 100 * time.Millisecond
-)
+// stoppedRunFraction is the fraction of the drain timeout, from the earliest time at which a
+// server can have begun to leave, in which it may be sent a run that was stopped for a migration.
+// The rest is for the way of the request.
+const stoppedRunFraction = 0.9
 
 // leavingServer is a server that leaves, and since when the router knows it.
 type leavingServer struct {
-	Server
+	*backendServer
 	since time.Time
 	drain time.Duration
 }
 
-// returnEnd returns until when a run may go back to the server.
-func (s *leavingServer) returnEnd() time.Time {
-	return s.since.Add(fractionOf(s.drain, returnFraction) - returnMargin)
+// reopened returns the server with a pool of its own, as that of a server that left the list is
+// closed.
+func (b *backendServer) reopened() *backendServer {
+	return &backendServer{Server: b.Server, pool: hop.NewPool(b.Address), usage: b.usage}
+}
+
+// recordLeaving records that a server leaves. It began to at the earliest when the list of servers was
+// last known to be current.
+func (r *relay) recordLeaving(b *backendServer) {
+	since := r.options.clock() - max(r.serversAge(), 0)
+	b.usage.leavingSince.CompareAndSwap(0, max(int64(since), 1))
 }
 
-// backendServer returns the server with a pool of its own, as it is no longer
-// among those that accept requests.
-func (s *leavingServer) backendServer() *backendServer {
-	return &backendServer{Server: s.Server, pool: hop.NewPool(s.Address), usage: newServerUsage(s.Server)}
+// takesStoppedRuns reports whether a server that leaves may still be sent a run that was stopped
+// for a migration, which has nowhere else to go. It serves for at least the drain timeout.
+func (r *relay) takesStoppedRuns(b *backendServer) bool {
+	since := time.Duration(b.usage.leavingSince.Load())
+	return since > 0 && r.options.clock() < since+fractionOf(r.bounds.Load().DrainTimeout, stoppedRunFraction)
 }
 
 // placeAtSource returns a place at the server where a run stopped for its
@@ -41,7 +46,7 @@
 func (p *proxiedRequest) placeAtSource(migrated *place) *place {
 	source := migrated.source
 	if source == nil || migrated.atSource || migrated.kvCopy.Handle == "" || p.class.Retryable() ||
-		time.Now().After(source.returnEnd()) {
+		!p.relay.takesStoppedRuns(source.backendServer) {
 		return nil
 	}
 	reservation := p.relay.balancer.ReserveLeaving(time.Now(), p.placementRequest, placement.Server{
@@ -49,5 +54,6 @@
 	})
 	back := p.newPlace(reservation, placement.Choice{Server: source.ID})
 	back.kvCopy, back.source, back.atSource = migrated.kvCopy, source, true
+	back.server = source.backendServer
 	return back
 }
--- a/router/relay/migration_test.go
+++ b/router/relay/migration_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -133,19 +134,24 @@
 	g.Expect(<-n.continued).To(gomega.Equal(source + "/h1"))
 }
 
-// Guards against requests that reach a leaving server because it was chosen
+// Guards against requests that reach a leaving server late because it was chosen
 // before: the destination of a migration begins to drain while the KV cache is
-// copied there.
+// copied there, and its drain timeout is almost over when the copy is complete.
 func TestMigratedStreamDoesNotContinueOnALeavingServer(t *testing.T) {
-	g := gomega.NewWithT(t)
-	n := startMigrationNode(t, func(n *migrationNode, request relay.MigrationRequest) relay.KVCopy {
-		n.drain(func(string) bool { return true })
-		n.waitUntil(t, func() bool { return len(n.stateDump(t)["Servers"].([]any)) == 0 })
-		close(n.stopped)
-		return relay.KVCopy{Source: request.Source, Handle: "h1"}
-	})
-	n.drain(func(id string) bool { return id == n.source })
-	end := <-n.end
-	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
-	g.Expect(n.continued).NotTo(gomega.Receive())
+	for name, leave := range destinationLeaves {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newMigrationNode()
+			startStoppedRunNode(t, n, hookedMigrator{stopped: func(request relay.MigrationRequest) {
+				time.Sleep(stoppedRunDrain / 4)
+				leave(n, request.Destination)
+				time.Sleep(stoppedRunDrain * 19 / 20)
+				close(n.stopped)
+			}}, 2)
+			end := <-n.end
+			g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
+			g.Expect(n.continued).NotTo(gomega.Receive())
+			g.Expect(totalArrived(n.backends)).To(gomega.Equal(1))
+		})
+	}
 }
--- a/router/relay/place.go
+++ b/router/relay/place.go
@@ -28,12 +28,15 @@
 	// retryTakenAt is when a speculative retry was taken from the budget for it.
 	retryTakenAt time.Time
 
-	// kvCopy is the copy of the run's KV cache that the attempt starts from, and
-	// source the server where the run stopped, if it was migrated. atSource says
-	// that the place is at the source.
+	// kvCopy is the copy of the run's KV cache that the attempt starts from, source
+	// the server where the run stopped, and server the one of the place, if it was
+	// migrated. atSource says that the place is at the source, and reopened that the
+	// attempt there has a pool of its own.
 	kvCopy   KVCopy
 	source   *leavingServer
+	server   *backendServer
 	atSource bool
+	reopened bool
 
 	// elsewhere says that another router is to make the attempt. Nothing is reserved then.
 	elsewhere bool
--- a/router/relay/servers.go
+++ b/router/relay/servers.go
@@ -51,6 +51,10 @@
 	// heardAt is the time on the clock at which the request of the last response was sent.
 	heardAt atomic.Int64
 
+	// leavingSince is the earliest time on the clock at which the server can have begun to leave, or
+	// zero while it is not known to.
+	leavingSince atomic.Int64
+
 	// leavingSaid says that a response said that the server leaves.
 	leavingSaid atomic.Bool
 }
@@ -122,12 +126,13 @@
 		}
 		_, corrected := outdated[id]
 		next[id] = &backendServer{Server: s, pool: b.pool, entryDraining: s.Draining && !corrected, usage: b.usage}
-		r.handleServerUpdate(old[id], s)
+		r.handleServerUpdate(old[id], next[id])
 	}
 	for id, b := range old {
 		if kept, ok := next[id]; !ok || kept.pool != b.pool {
 			b.pool.Close()
-			r.migrateStreams(b.Server)
+			r.recordLeaving(b)
+			r.migrateStreams(b)
 			r.logLeaving(b).Msg("backend server removed")
 		}
 	}
@@ -198,13 +203,14 @@
 // latter case starts to migrate its streams. The key leaving says whether a new
 // server is draining. A draining server accepts requests again only in another
 // lifetime with the same ID.
-func (r *relay) handleServerUpdate(old *backendServer, s Server) {
+func (r *relay) handleServerUpdate(old, s *backendServer) {
 	switch {
 	case old == nil:
 		r.options.log.StateChange().Str("server", s.ID).Str("service", s.Service).Str("address", s.Address).
 			Bool("leaving", s.Draining).Msg("backend server added")
 	case s.Draining && !old.Draining:
 		r.logLeaving(old).Msg("backend server draining")
+		r.recordLeaving(s)
 		r.migrateStreams(s)
 	case !s.Draining && old.Draining:
 		r.logLeaving(old).Msg("backend server accepting again")
--- a/router/relay/statements.go
+++ b/router/relay/statements.go
@@ -72,7 +72,7 @@
 		}
 		marked := *s
 		marked.Draining = true
-		r.handleServerUpdate(s, marked.Server)
+		r.handleServerUpdate(s, &marked)
 		next[id] = &marked
 	}
 	r.servers.Store(&next)
--- a/router/relay/stopped_run_test.go
+++ b/router/relay/stopped_run_test.go
@@ -34,6 +34,12 @@
 	return relay.KVCopy{Source: request.Source, Handle: "h1"}, nil
 }
 
+// destinationLeaves are the ways in which the destination of a migration begins to leave.
+var destinationLeaves = map[string]func(n *migrationNode, destination string){
+	"drains": func(n *migrationNode, _ string) { n.drain(func(string) bool { return true }) },
+	"gone":   func(n *migrationNode, destination string) { n.remove(destination) },
+}
+
 // startStoppedRunNode starts a node with a number of engines and a stream that may run once, whose
 // engine then leaves.
 func startStoppedRunNode(t *testing.T, n *migrationNode, migrator relay.Migrator, engines int) {
@@ -71,11 +77,7 @@
 // Guards against streams that are cut because the destination of their migration began to leave
 // after their run had been stopped, when it is too late to return to the source.
 func TestStoppedRunGoesOnAtALeavingDestination(t *testing.T) {
-	leaves := map[string]func(n *migrationNode, destination string){
-		"drains": func(n *migrationNode, _ string) { n.drain(func(string) bool { return true }) },
-		"gone":   func(n *migrationNode, destination string) { n.remove(destination) },
-	}
-	for name, leave := range leaves {
+	for name, leave := range destinationLeaves {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			n := newMigrationNode()
--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -51,12 +51,12 @@
 	s.open[p] = &streamState{server: server, addedAt: time.Now()}
 }
 
-// remove unregisters an attempt, unless a migration was started or its engine was ordered to
-// stop it. In these cases takeMigration does so.
+// remove unregisters an attempt, unless a migration was started. In that case
+// takeMigration does so.
 func (s *streamRegistry) remove(p *proxiedRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state, ok := s.open[p]; ok && state.migration == nil && !state.stopOrdered {
+	if !s.isMigrating(p) {
 		delete(s.open, p)
 	}
 }
@@ -76,17 +76,16 @@
 }
 
 // takeMigration unregisters the attempt and returns the channel for the result
-// of its migration, or nil if none is in progress. stopOrdered says that the engine was or will
-// be ordered to stop the run.
-func (s *streamRegistry) takeMigration(p *proxiedRequest) (migration chan migrationResult, stopOrdered bool) {
+// of its migration, or nil if none was started.
+func (s *streamRegistry) takeMigration(p *proxiedRequest) chan migrationResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state, ok := s.open[p]
 	if !ok {
-		return nil, false
+		return nil
 	}
 	delete(s.open, p)
-	return state.migration, state.stopOrdered
+	return state.migration
 }
 
 // startedOn returns the streams on a server that have sent events, are not being
