--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -20,8 +20,8 @@
 	migrationStepFraction  = 0.1
 	migrationEndFraction   = 0.7
 
-	// migrationTimeout bounds the copying of a run's KV cache if the request may
-	// run again elsewhere instead.
+	// migrationTimeout bounds the copying of a run's KV cache while the run goes on, or if
+	// the request may run again elsewhere instead.
 	migrationTimeout = 1500 * time.Millisecond
 )
 
@@ -59,28 +59,51 @@
 	if r.options.migrator == nil {
 		return
 	}
-	leaving := leavingServer{backendServer: server, since: time.Now(), drain: r.bounds.Load().DrainTimeout}
-	since, drain := leaving.since, leaving.drain
+	leaving := &leavingServer{backendServer: server, since: time.Now(), drain: r.bounds.Load().DrainTimeout}
 	var migrate func()
 	migrate = func() {
 		if r.acceptsAgain(server.Server) {
 			return
 		}
-		for p, state := range r.streams.startedOn(server.ID) {
-			if r.startedAgain(server.Server) && state.addedAt.After(since) {
-				continue // In the new lifetime of the server.
-			}
-			service, ok := p.index.servicesByName[server.Service]
-			if ok && service.SupportsMigration && !p.endsBefore(since.Add(drain), state, service.TokensPerEvent) {
-				go p.migrateFrom(leaving)
-			}
-		}
-		step := fractionOf(drain, migrationStepFraction)
-		if time.Since(since)+step <= fractionOf(drain, migrationEndFraction) {
+		step := fractionOf(leaving.drain, migrationStepFraction)
+		last := time.Since(leaving.since)+step > fractionOf(leaving.drain, migrationEndFraction)
+		r.migrateInTurn(leaving)
+		if !last {
 			time.AfterFunc(step, migrate)
 		}
 	}
-	time.AfterFunc(fractionOf(drain, migrationDelayFraction), migrate)
+	time.AfterFunc(fractionOf(leaving.drain, migrationDelayFraction), migrate)
+}
+
+// migrateInTurn migrates the streams that are on a leaving server one after the other. An engine
+// copies KV caches in the order of the calls, so that a run which was stopped would wait for
+// all copies that were asked for before. A migration that takes longer than migrationTimeout keeps
+// the next one waiting no longer.
+func (r *relay) migrateInTurn(leaving *leavingServer) {
+	for p, state := range r.streams.startedOn(leaving.ID) {
+		if !r.mustMigrate(p, state, leaving) {
+			continue
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			p.migrateFrom(leaving)
+		}()
+		select {
+		case <-ended:
+		case <-time.After(migrationTimeout):
+		}
+	}
+}
+
+// mustMigrate reports whether a stream is on the lifetime of a server that leaves, can be migrated,
+// and is not expected to end before the server does.
+func (r *relay) mustMigrate(p *proxiedRequest, state streamState, leaving *leavingServer) bool {
+	if r.startedAgain(leaving.Server) && state.addedAt.After(leaving.since) {
+		return false // In the new lifetime of the server.
+	}
+	service, ok := p.index.servicesByName[leaving.Service]
+	return ok && service.SupportsMigration && !p.endsBefore(leaving.since.Add(leaving.drain), state, service.TokensPerEvent)
 }
 
 // fractionOf returns a fraction of a duration.
@@ -121,7 +144,7 @@
 // empty if there is no other server. The keys known, copied and stopped hold for how
 // long the server was known to leave, and the times of the copying before and after the
 // order to stop the run, in milliseconds.
-func (p *proxiedRequest) migrateFrom(server leavingServer) {
+func (p *proxiedRequest) migrateFrom(server *leavingServer) {
 	r := p.relay
 	results := r.streams.beginMigration(p, server.ID)
 	if results == nil {
@@ -130,7 +153,7 @@
 	ctx, cancel := context.WithDeadline(p.request.Context(), p.migrationDeadline())
 	defer cancel()
 	migration := p.migrate(ctx, server.Server)
-	migration.source = &server
+	migration.source = server
 	if migration.err != nil && migration.kvCopy.Handle == "" {
 		r.streams.cancelMigration(p, errors.Is(migration.err, ErrNoRun))
 	}
--- a/router/relay/stopped_run_test.go
+++ b/router/relay/stopped_run_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,3 +122,71 @@
 	g.Expect(stops).To(gomega.HaveLen(1))
 	g.Expect(slices.Index(copies, stops[0])).To(gomega.Equal(1), "the run was stopped for the second destination")
 }
+
+// turnsMigrator finds no room for any run, and records how many calls were made at the same time.
+type turnsMigrator struct {
+	calls   atomic.Int32
+	now     atomic.Int32
+	largest atomic.Int32
+}
+
+func (m *turnsMigrator) Copy(context.Context, relay.MigrationRequest) error {
+	m.calls.Add(1)
+	m.largest.Store(max(m.largest.Load(), m.now.Add(1)))
+	time.Sleep(stoppedRunDrain / 50)
+	m.now.Add(-1)
+	return errNoRoom
+}
+
+func (*turnsMigrator) Migrate(context.Context, relay.MigrationRequest) (relay.KVCopy, error) {
+	return relay.KVCopy{}, errNoRoom
+}
+
+// startTurnsNode starts a node with two engines and a number of streams, of which the engine with most of
+// them then leaves. It returns how many are there. All go on until the test closes stopped.
+func startTurnsNode(t *testing.T, n *migrationNode, migrator relay.Migrator, streams int) int {
+	t.Helper()
+	n.began = make(chan string, streams)
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		c.Bounds.DrainTimeout = stoppedRunDrain
+		c.Migrator = migrator
+	}, 2)
+	onEngine := make(map[string]int)
+	for range streams {
+		go n.call(t, http.MethodPost, "/a/x", "")
+		onEngine[<-n.began]++
+	}
+	n.source = n.backends[0].id
+	if other := n.backends[1].id; onEngine[other] > onEngine[n.source] {
+		n.source = other
+	}
+	n.drain(func(id string) bool { return id == n.source })
+	return onEngine[n.source]
+}
+
+// Guards against runs that stay stopped for seconds, as the rest of their KV cache waits for the
+// copies of all other runs on the engine, until their destination has left as well.
+func TestStreamsOfALeavingServerMigrateInTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	migrator := &turnsMigrator{}
+	streams := startTurnsNode(t, n, migrator, 6)
+	defer close(n.stopped)
+	g.Eventually(migrator.calls.Load, noticeTime).Should(gomega.BeNumerically(">=", streams))
+	g.Expect(migrator.largest.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+// Guards against streams that are not migrated because the migration of another one from the same engine
+// does not end.
+func TestStreamsMigrateThoughOneMigrationHangs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	stops := make(chan struct{}, 6)
+	streams := startTurnsNode(t, n, hookedMigrator{stopped: func(relay.MigrationRequest) {
+		stops <- struct{}{}
+		<-n.stopped
+	}}, 4)
+	defer close(n.stopped)
+	g.Expect(streams).To(gomega.BeNumerically(">", 1))
+	g.Eventually(func() int { return len(stops) }, noticeTime).Should(gomega.BeNumerically(">", 1))
+}
