--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -80,6 +80,12 @@
 	Proofs     func() Proofs
 	HearProofs func(Proofs)
 
+	// PlanInForce returns the version of the plan that the router has in force, or zero, and
+	// HearPlanInForce receives those of other routers. They must not block. If they are nil,
+	// nothing is said about that.
+	PlanInForce     func() int64
+	HearPlanInForce func(version int64)
+
 	// Reach returns what the router hears of the backend servers. If it is nil, nothing is
 	// said about that.
 	Reach func() Reach
@@ -168,7 +174,7 @@
 		case <-ctx.Done():
 			return
 		case <-b.announce:
-			err = b.send(conn, b.activePeers(now), message{Proofs: b.config.Proofs()})
+			err = b.send(conn, b.activePeers(now), message{PlanInForce: b.planInForce(), Proofs: b.config.Proofs()})
 		case <-timer.C:
 			peers := b.activePeers(now)
 			timer.Reset(interval(len(peers)))
@@ -190,10 +196,18 @@
 	age, hasPlan := b.config.PlanAge()
 	return b.send(conn, peers, message{
 		HasReport: true, Report: b.config.Balancer.LoadReport(now), Peers: samplePeers(peers),
-		PlanAge: age, HasPlan: hasPlan, Proofs: b.config.Proofs(), Reach: b.ownReach(),
+		PlanAge: age, HasPlan: hasPlan, PlanInForce: b.planInForce(), Proofs: b.config.Proofs(), Reach: b.ownReach(),
 	})
 }
 
+// planInForce returns the version of the router's plan, or zero.
+func (b *Broadcaster) planInForce() int64 {
+	if b.config.PlanInForce == nil {
+		return 0
+	}
+	return b.config.PlanInForce()
+}
+
 // send sends a message to the peers. It returns the last error.
 func (b *Broadcaster) send(conn net.PacketConn, peers []netip.AddrPort, m message) error {
 	data, err := encode(m)
@@ -316,6 +330,9 @@
 	if err != nil {
 		return err
 	}
+	if m.PlanInForce > 0 && b.config.HearPlanInForce != nil {
+		b.config.HearPlanInForce(m.PlanInForce)
+	}
 	b.config.HearProofs(m.Proofs)
 	if !m.HasReport {
 		return nil
--- a/router/internal/loadreport/codec.go
+++ b/router/internal/loadreport/codec.go
@@ -14,7 +14,7 @@
 )
 
 // message is the content of a datagram. Peers are addresses of other routers
-// that the sender knows. Without HasReport, only Proofs is set.
+// that the sender knows. Without HasReport, only Proofs and PlanInForce are set.
 type message struct {
 	HasReport bool
 	Report    placement.LoadReport
@@ -25,6 +25,9 @@
 	PlanAge time.Duration
 	HasPlan bool
 
+	// PlanInForce is the version of the sender's plan, or zero.
+	PlanInForce int64
+
 	Proofs Proofs
 	Reach  Reach
 }
@@ -51,6 +54,8 @@
 	// neverHeardMS.
 	UnheardMS  int64
 	OutOfReach bool
+
+	PlanInForce int64
 }
 
 // neverHeardMS stands for the time since a router heard a server that has not heard any.
@@ -110,7 +115,7 @@
 // encode returns the CBOR encoding of a message.
 func encode(m message) ([]byte, error) {
 	w := wireMessage{
-		HasReport: m.HasReport, PlanAgeMS: noPlanAgeMS, Plan: encodeProof(m.Proofs.Plan), Servers: encodeProof(m.Proofs.Servers),
+		HasReport: m.HasReport, PlanAgeMS: noPlanAgeMS, PlanInForce: m.PlanInForce, Plan: encodeProof(m.Proofs.Plan), Servers: encodeProof(m.Proofs.Servers),
 	}
 	if m.HasPlan {
 		w.PlanAgeMS = m.PlanAge.Milliseconds()
@@ -154,6 +159,7 @@
 		return message{}, err
 	}
 	m := message{HasReport: w.HasReport, PlanAge: time.Duration(w.PlanAgeMS) * time.Millisecond, HasPlan: w.PlanAgeMS != noPlanAgeMS}
+	m.PlanInForce = w.PlanInForce
 	m.Reach = Reach{Heard: w.UnheardMS >= 0, Unheard: time.Duration(w.UnheardMS) * time.Millisecond, OutOfReach: w.OutOfReach}
 	m.Proofs = Proofs{Plan: decodeProof(w.Plan), Servers: decodeProof(w.Servers)}
 	m.Report.Loads = decodeLoads(w.Loads)
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -20,6 +20,9 @@
 			n.plans.Learn(p.Plan)
 			n.servers.Learn(p.Servers)
 		},
+		PlanInForce:     n.relay.planInForce,
+		HearPlanInForce: n.relay.hearPlanInForce,
+
 		Reach: n.relay.reach,
 		ReportError: func(err error) {
 			n.log.RepeatedFailure(time.Now(), "load report", err).Msg("load report lost")
@@ -27,6 +30,20 @@
 	})
 }
 
+// otherSeeds returns the addresses of other routers that a router is told at its start.
+func otherSeeds(config Config) []netip.AddrPort {
+	if !config.PeerAddress.IsValid() {
+		return nil
+	}
+	var others []netip.AddrPort
+	for _, seed := range config.PeerSeeds {
+		if seed != config.PeerAddress {
+			others = append(others, seed)
+		}
+	}
+	return others
+}
+
 // proofs returns the newest proofs that this node has.
 func (n *Node) proofs() loadreport.Proofs {
 	return loadreport.Proofs{Plan: n.plans.Proof(), Servers: n.servers.Proof()}
--- a/router/relay/handover_serve.go
+++ b/router/relay/handover_serve.go
@@ -57,7 +57,7 @@
 
 // serveHandover takes over the request of another router, or declines it.
 func (r *relay) serveHandover(w http.ResponseWriter, call *http.Request, peer netip.Addr) {
-	if r.handedOver.Add(1) > maxHandedOver || r.refusesRequests() || r.outOfReach() || r.uplink.Behind(time.Now()) {
+	if r.handedOver.Add(1) > maxHandedOver || r.refusesRequests() || r.planOutdated() || r.outOfReach() || r.uplink.Behind(time.Now()) {
 		r.handedOver.Add(-1)
 		declineHandover(w, http.StatusServiceUnavailable)
 		return
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -175,6 +175,7 @@
 		serversAsOf:        n.servers.AsOf,
 		planUnreachableFor: n.plans.OutageDuration,
 		planMissingFor:     n.plans.MissingFor,
+		listensForPlans:    len(otherSeeds(config)) > 0,
 		routers:            func() (int, time.Time) { return n.broadcaster.MostRouters() },
 		peerHasFresherPlan: func(bound time.Duration) bool { return n.broadcaster.AnyFresherPlan(bound) },
 		log:                n.log,
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -65,6 +65,9 @@
 	// to be the newest less than the bound ago.
 	peerHasFresherPlan func(bound time.Duration) bool
 
+	// listensForPlans says that there are other routers that tell which plan they have.
+	listensForPlans bool
+
 	// routers counts the routers that were heard.
 	routers retrybudget.RouterCount
 
@@ -108,6 +111,11 @@
 	// brittleServices knows which services have brittle servers.
 	brittleServices brittleServices
 
+	// witness knows the plans of other routers, and planLost says that the store has lost
+	// a newer one than that in force.
+	witness  planWitness
+	planLost atomic.Bool
+
 	index    atomic.Pointer[planIndex]
 	servers  atomic.Pointer[map[string]*backendServer]
 	inflight atomic.Int64
@@ -185,6 +193,7 @@
 	next := newPlanIndex(plan)
 	r.metrics.updatePlan(plan)
 	r.index.Store(next)
+	r.witness.listen(r.options.clock())
 	r.updateBalancer()
 	r.options.log.StateChange().Int64("version", plan.Version).Int("classes", len(plan.Classes)).
 		Int("teams", len(plan.Teams)).Dur("took", time.Since(start)).Msg("plan in force")
@@ -206,7 +215,7 @@
 // leaving reports whether callers should send their next requests to another
 // router.
 func (r *relay) leaving() bool {
-	return r.lingerUntil.Load() != 0 || r.disconnected() || r.cutOff()
+	return r.lingerUntil.Load() != 0 || r.disconnected() || r.cutOff() || r.planLost.Load()
 }
 
 // inProgress returns the number of requests in progress.
@@ -221,7 +230,7 @@
 
 // ready reports whether callers should be sent to this router.
 func (r *relay) ready() bool {
-	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.disconnected() && !r.cutOff() && r.quarantineSynced() && r.limits.Synced()
+	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.planOutdated() && !r.mayMissRevocations() && !r.disconnected() && !r.cutOff() && r.quarantineSynced() && r.limits.Synced()
 }
 
 // ServeHTTP implements http.Handler.
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -162,6 +162,10 @@
 		p.refuseStalePlan("no plan")
 		return false
 	}
+	if r.planOutdated() {
+		p.refuseStalePlan("newer plan lost")
+		return false
+	}
 	if r.refusesRequests() {
 		p.refuse("stopping", otherRouterDelay)
 		return false
@@ -213,6 +217,10 @@
 		p.refuseStalePlan("plan outdated")
 		return false
 	}
+	if p.relay.mayMissRevocations() {
+		p.refuseStalePlan("newer plan may be lost")
+		return false
+	}
 	team, ok := p.index.teamsByKey[p.info.APIKey]
 	if !ok {
 		return p.rejectUnknown(http.StatusUnauthorized, "unknown key")
