--- a/router/internal/handover/handover.go
+++ b/router/internal/handover/handover.go
@@ -59,6 +59,10 @@
 	// ID of the last event that the caller has, or empty.
 	Executions  int
 	LastEventID string
+
+	// PlanVersion is the version of the plan by which the first router admitted the request. A
+	// router with an older one must not run it.
+	PlanVersion int64
 }
 
 // wireRequest is the wire format of a request. The timeout is in microseconds.
@@ -74,6 +78,7 @@
 	Service     string
 	Executions  int
 	LastEventID string
+	PlanVersion int64
 }
 
 // maxTimeout bounds the time that is left.
@@ -84,6 +89,7 @@
 	data, err := cbor.Marshal(wireRequest{
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body, HasBody: r.HasBody,
 		TimeoutUS: r.Timeout.Microseconds(), Service: r.Service, Executions: r.Executions, LastEventID: r.LastEventID,
+		PlanVersion: r.PlanVersion,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode handed over request: %w", err)
@@ -104,5 +110,6 @@
 	return Request{
 		Method: w.Method, Target: w.Target, Host: w.Host, Header: w.Header, Body: w.Body, HasBody: w.HasBody,
 		Timeout: time.Duration(w.TimeoutUS) * time.Microsecond, Service: w.Service, Executions: w.Executions, LastEventID: w.LastEventID,
+		PlanVersion: w.PlanVersion,
 	}, nil
 }
--- a/router/internal/handover/handover_test.go
+++ b/router/internal/handover/handover_test.go
@@ -26,6 +26,7 @@
 			Header:     http.Header(rapid.MapOf(rapid.String(), rapid.SliceOf(rapid.String())).Draw(rt, "header")),
 			Timeout:    time.Duration(rapid.IntRange(1, 1e9).Draw(rt, "timeout")) * time.Microsecond,
 			Executions: rapid.IntRange(0, 9).Draw(rt, "executions"), LastEventID: rapid.String().Draw(rt, "last"),
+			PlanVersion: rapid.Int64().Draw(rt, "plan"),
 		}
 		data, err := handover.Encode(request)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/router/relay/handover.go
+++ b/router/relay/handover.go
@@ -165,7 +165,7 @@
 	data, err := handover.Encode(handover.Request{
 		Method: p.request.Method, Target: p.requestTarget, Host: p.request.Host, Header: endToEnd(p.request.Header),
 		Body: p.body, HasBody: p.hasBody, Timeout: time.Until(p.deadline), Service: p.service,
-		Executions: p.executions, LastEventID: p.lastEventID,
+		Executions: p.executions, LastEventID: p.lastEventID, PlanVersion: p.index.plan.Version,
 	})
 	if err != nil {
 		p.relay.options.log.Request(time.Now(), err).Str("request", p.info.AttemptID).Msg("request not handed over")
--- a/router/relay/handover_serve.go
+++ b/router/relay/handover_serve.go
@@ -27,6 +27,10 @@
 
 	// errNoHandover means that a request is not taken over.
 	errNoHandover = errors.ConstError("not taken over")
+
+	// errOlderPlan means that a request was admitted by a newer plan than this router has, which
+	// may have stood still meanwhile.
+	errOlderPlan = errors.ConstError("plan older than that of the request")
 )
 
 // serveHandover runs the request of another router. Only routers that this one hears may ask.
@@ -69,7 +73,7 @@
 	defer p.releaseBody()
 	request, err := r.readHandover(p, call)
 	if err != nil {
-		r.options.log.Request(time.Now(), err).Str("router", peer.String()).Msg("hand-over not read")
+		r.options.log.Request(time.Now(), err).Str("router", peer.String()).Msg("hand-over not taken")
 		declineHandover(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -85,7 +89,8 @@
 	w.WriteHeader(status)
 }
 
-// readHandover reads a request that another router hands over, within the memory for bodies.
+// readHandover reads a request that another router hands over, within the memory for bodies. It
+// returns an error if the request was admitted by a newer plan than this router's.
 func (r *relay) readHandover(p *proxiedRequest, call *http.Request) (handover.Request, error) {
 	limit := int64(handoverOverhead)
 	if index := r.index.Load(); index != nil {
@@ -104,7 +109,14 @@
 	if _, err := io.ReadFull(call.Body, data); err != nil {
 		return handover.Request{}, fmt.Errorf("read handed over request: %w", err)
 	}
-	return handover.Decode(data) //nolint:wrapcheck // It says what it decodes.
+	request, err := handover.Decode(data)
+	if err != nil {
+		return handover.Request{}, err //nolint:wrapcheck // It says what it decodes.
+	}
+	if own := r.planInForce(); own < request.PlanVersion {
+		return handover.Request{}, fmt.Errorf("version %d in place of %d: %w", own, request.PlanVersion, errOlderPlan)
+	}
+	return request, nil
 }
 
 // newHandedOverRequest returns the request as the caller sent it to the other router. It ends with
--- a/router/relay/handover_test.go
+++ b/router/relay/handover_test.go
@@ -248,3 +248,28 @@
 	g.Expect(p.server.arrived.Load()).To(gomega.BeNumerically(">", 0)) // Requests that keep it heard, before.
 	g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 20*time.Second))
 }
+
+// Guards against a request that is decided by a new plan and run by the older one of the router
+// that it is handed over to, which stood still meanwhile.
+func TestRouterWithAnOlderPlanTakesNoRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	class := newClass("a", relay.Idempotent, 1)
+	p := startPair(t, class, respond("a"))
+	next := newPlan(class, newClass("keepalive", relay.Idempotent, 1))
+	next.Version = 2
+	p.sound.plans.setUnavailable(true)
+	p.sound.servers.setUnavailable(true)
+	p.cut.setPlan(next)
+	p.cut.waitUntil(t, p.cut.logged("plan in force", 2))
+	p.sound.waitUntil(t, func() bool { return p.sound.call(t, http.MethodGet, "/keepalive/x", "").status == http.StatusOK })
+	taken := p.sound.counter(t, "handovers.taken")
+	g.Expect(p.cut.call(t, http.MethodGet, "/a/x", "").status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(p.sound.counter(t, "handovers.taken")).To(gomega.Equal(taken))
+	g.Expect(p.cut.logged("hand-over declined", 1)()).To(gomega.BeTrue())
+
+	p.sound.setPlan(next)
+	p.sound.plans.setUnavailable(false)
+	p.sound.servers.setUnavailable(false)
+	p.sound.waitUntil(t, p.sound.logged("plan in force", 2))
+	p.cut.waitUntil(t, func() bool { return p.cut.call(t, http.MethodGet, "/a/x", "").body == "a" })
+}
