--- a/router/internal/decision/log.go
+++ b/router/internal/decision/log.go
@@ -1,5 +1,5 @@
 // Package decision writes the structured log of a router's decisions and state
-// changes. Writing never blocks a request: lines go through a bounded ring to
+// changes. Writing never blocks a request: lines go through a bounded queue to
 // one writer, and those that don't fit are dropped and counted.
 //
 // In each second there are at most maxSuccessLines lines about ordinary
@@ -18,13 +18,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 )
 
 const (
-	// ringSize is the largest number of lines that wait for the writer.
-	ringSize = 1024
-
 	// maxSuccessLines is the largest number of lines about ordinary successes
 	// in a second; further ones are omitted and counted.
 	maxSuccessLines = 20
@@ -81,12 +77,12 @@
 		requests:  lineLimit{perSecond: maxRequestLines},
 		repeats:   make(map[string]*repeat),
 	}
-	writer := diode.NewWriter(out, ringSize, 0, func(dropped int) {
-		l.unreportedDrops.Add(int64(dropped))
-		l.droppedLines.Add(int64(dropped))
+	queue := newLineQueue(out, func() {
+		l.unreportedDrops.Add(1)
+		l.droppedLines.Add(1)
 	})
-	l.writer = writer
-	l.logger = zerolog.New(writer).With().Timestamp().Str("vm", vm).Logger()
+	l.writer = queue
+	l.logger = zerolog.New(queue).With().Timestamp().Str("vm", vm).Logger()
 	return l
 }
 
@@ -165,7 +161,7 @@
 	return event
 }
 
-// DroppedLines returns the number of lines dropped because the ring was full.
+// DroppedLines returns the number of lines dropped because the queue was full.
 func (l *Log) DroppedLines() int64 { return l.droppedLines.Load() }
 
 // Close writes the lines that are waiting and closes the log.
