--- a/router/relay/handover_test.go
+++ b/router/relay/handover_test.go
@@ -130,7 +130,10 @@
 	g.Expect(reply.header).NotTo(gomega.HaveKey("Handover-Outcome"))
 	g.Expect(p.sound.counter(t, "handovers.taken")).To(gomega.Equal(before + 1))
 	g.Expect(p.cut.counter(t, "requests.taken")).To(gomega.Equal(taken + 1))
-	served := func() int { return p.cut.counter(t, "class.a.served") } // Counted after the response was written.
+	// The request is counted after its response was written, and the counter of a class comes with its
+	// first request.
+	g.Eventually(func() string { return p.cut.metrics(t) }, noticeTime).Should(gomega.ContainSubstring("counter class.a.served\n"))
+	served := func() int { return p.cut.counter(t, "class.a.served") }
 	g.Eventually(served, noticeTime).Should(gomega.Equal(1))
 	g.Consistently(served, 50*time.Millisecond).Should(gomega.Equal(1))
 	g.Expect(p.sound.metrics(t)).NotTo(gomega.ContainSubstring("class.a.served"))
