--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -197,7 +197,7 @@
 		target.pool.CloseIdle() // Other kept connections may be silent as well.
 	}
 	switch {
-	case canceled, errors.Is(err, errServerLeaving), errors.Is(err, errQuarantined), errors.Is(err, placement.ErrLimited):
+	case canceled, isWithheld(err):
 		reservation.Done(time.Now(), placement.Canceled)
 	case !maybeSent:
 		reservation.Done(time.Now(), placement.Unreachable)
@@ -213,6 +213,16 @@
 	return incomplete, err
 }
 
+// isWithheld reports whether a request was not written for a reason that is none of the server's links.
+func isWithheld(err error) bool {
+	for _, reason := range []error{errServerLeaving, errQuarantined, placement.ErrLimited, errStopping} {
+		if errors.Is(err, reason) {
+			return true
+		}
+	}
+	return false
+}
+
 // hopRequest builds the request for a server.
 func (p *proxiedRequest) hopRequest(ctx context.Context, at *place, target *backendServer) hop.Request {
 	header := p.relay.options.codec.ForwardHeader(endToEnd(p.request.Header), ForwardInfo{
@@ -241,6 +251,9 @@
 			if p.relay.rests(target) || !p.mayUse(ctx, at, target) {
 				return placement.ErrLimited
 			}
+			if !p.mayBegin() {
+				return errStopping
+			}
 			p.sendDelay, p.sentAt = time.Since(p.chosenAt), p.relay.options.clock()
 			at.lease = p.relay.limits.Enter(target.usage.placeKey, at.lease)
 			p.countLimited(target)
--- a/router/relay/handover.go
+++ b/router/relay/handover.go
@@ -173,7 +173,7 @@
 		return
 	}
 	for _, peer := range p.relay.peerRouters.candidates(time.Now()) {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !p.mayBegin() {
 			break
 		}
 		p.peer = peer.Addr()
@@ -187,6 +187,11 @@
 		p.relay.options.log.Request(time.Now(), err).Str("request", p.info.AttemptID).Str("router", p.peer.String()).
 			Msg("hand-over declined")
 	}
+	if !p.mayBegin() {
+		p.retryAfter = otherRouterDelay
+		p.finishUnanswered(ctx, string(errStopping))
+		return
+	}
 	p.retryAfter = max(p.retryAfter, shortRetryDelay)
 	p.finishUnanswered(ctx, string(errOutOfReach))
 }
@@ -196,7 +201,13 @@
 func (p *proxiedRequest) handOver(ctx context.Context, peer netip.AddrPort, data []byte) (result attemptResult, taken bool, err error) {
 	response, err := p.relay.peerRouters.pool(peer).Send(ctx, hop.Request{
 		Method: http.MethodPost, Target: handover.Path, Host: peer.String(), Body: data, HasBody: true,
-		Header:  http.Header{"Content-Type": {handover.ContentType}},
+		Header: http.Header{"Content-Type": {handover.ContentType}},
+		BeforeWrite: func() error {
+			if !p.mayBegin() {
+				return errStopping
+			}
+			return nil
+		},
 		Matches: func(http.Header, bool) bool { return true },
 	})
 	if err != nil {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -125,8 +125,15 @@
 	responseMemory memoryBudget
 
 	// lingerUntil is the time on the clock until which a stopping relay accepts
-	// requests, or zero while it is not stopping.
+	// requests, or zero while it is not stopping. lingering ends then. cutOffAt is the time
+	// on the clock at which it cuts off what is in progress.
 	lingerUntil atomic.Int64
+	cutOffAt    atomic.Int64
+	lingering   context.Context
+	endLinger   context.CancelFunc
+
+	// runTimes are those of the requests that this router ran.
+	runTimes runTimes
 
 	// uploads ends when a stopping relay reads no more of requests' bodies.
 	uploads    context.Context
@@ -162,6 +169,7 @@
 		limitRefusals: newRefusalPace(),
 	}
 	r.bodyMemory.limit, r.responseMemory.limit = options.maxBodyMemory, options.maxResponseMemory
+	r.lingering, r.endLinger = context.WithCancel(context.Background())
 	r.uploads, r.endUploads = context.WithCancel(context.Background())
 	r.servers.Store(&map[string]*backendServer{})
 	r.setBounds(options.bounds)
@@ -184,6 +192,7 @@
 	}
 	next := newPlanIndex(plan)
 	r.metrics.updatePlan(plan)
+	r.runTimes.keep(plan.Classes)
 	r.index.Store(next)
 	r.updateBalancer()
 	r.options.log.StateChange().Int64("version", plan.Version).Int("classes", len(plan.Classes)).
@@ -197,31 +206,18 @@
 	r.retryBudget.SetExtra(bounds.RetryExtra, r.options.routers)
 }
 
-// stop starts the shutdown: from now on responses tell callers to close the
-// connection, and after the linger time requests are refused.
-func (r *relay) stop(linger time.Duration) {
-	r.lingerUntil.Store(int64(r.options.clock() + linger))
-}
-
 // leaving reports whether callers should send their next requests to another
 // router.
 func (r *relay) leaving() bool {
-	return r.lingerUntil.Load() != 0 || r.disconnected() || r.cutOff()
+	return r.stopping() || r.disconnected() || r.cutOff()
 }
 
 // inProgress returns the number of requests in progress.
 func (r *relay) inProgress() int64 { return r.inflight.Load() }
 
-// refusesRequests reports whether the relay is stopping and its linger time is
-// over.
-func (r *relay) refusesRequests() bool {
-	until := r.lingerUntil.Load()
-	return until != 0 && r.options.clock() >= time.Duration(until)
-}
-
 // ready reports whether callers should be sent to this router.
 func (r *relay) ready() bool {
-	return r.lingerUntil.Load() == 0 && r.canChoose.Load() && !r.disconnected() && !r.cutOff() && r.quarantineSynced() && r.limits.Synced()
+	return !r.stopping() && r.canChoose.Load() && !r.disconnected() && !r.cutOff() && r.quarantineSynced() && r.limits.Synced()
 }
 
 // ServeHTTP implements http.Handler.
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -55,6 +55,9 @@
 	placementRequest placement.Request
 	deadline         time.Time
 
+	// readAt is when the request had arrived as a whole.
+	readAt time.Time
+
 	// tried are the backend servers that were picked for the request. executions
 	// is the number of attempts that may have run it, and rejections that of those
 	// that a server rejected.
@@ -137,6 +140,7 @@
 		p.handleBodyError(err)
 		return
 	}
+	p.readAt = time.Now()
 	p.prepare()
 	if p.isQuarantined(false) {
 		p.relay.metrics.quarantined.Inc(1)
@@ -145,6 +149,7 @@
 	}
 	ctx, cancel := context.WithDeadline(p.request.Context(), p.deadline)
 	defer cancel()
+	defer p.recordRunTime()
 	p.runAttempts(ctx)
 }
 
@@ -163,7 +168,7 @@
 		return false
 	}
 	if r.refusesRequests() {
-		p.refuse("stopping", otherRouterDelay)
+		p.refuse(string(errStopping), otherRouterDelay)
 		return false
 	}
 	p.requestTarget = p.request.RequestURI
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -178,6 +178,9 @@
 		return "attempts used up"
 	case p.rejections >= limit && !p.mayGoElsewhere():
 		return "rejected"
+	case !p.mayBegin():
+		p.retryAfter = otherRouterDelay
+		return string(errStopping)
 	case p.isQuarantined(false):
 		return string(errQuarantined)
 	case p.executions > 0 && p.isSuspected():
@@ -186,11 +189,27 @@
 	return ""
 }
 
-// choosePlace reserves a place at a server that was not tried. If all servers were
+// choosePlace reserves a place for the next attempt. The error says why there is none, and
+// retryAfter how much later the caller is asked to retry if it is refused for that.
+func (p *proxiedRequest) choosePlace(ctx context.Context) (*place, error) {
+	ctx, cancel := p.untilTooLate(ctx)
+	defer cancel()
+	next, err := p.reservePlace(ctx)
+	if p.mayBegin() {
+		return next, err
+	}
+	if next != nil {
+		next.release(time.Now())
+	}
+	p.retryAfter = otherRouterDelay
+	return nil, errStopping
+}
+
+// reservePlace reserves a place at a server that was not tried. If all servers were
 // tried, a request that may have run goes to one of them again. The error says
 // why there is no place; if all servers are busy, it sets how much later the
 // caller is asked to retry.
-func (p *proxiedRequest) choosePlace(ctx context.Context) (*place, error) {
+func (p *proxiedRequest) reservePlace(ctx context.Context) (*place, error) {
 	if next, err := p.elsewhere(); next != nil || err != nil {
 		p.retryAfter = longRetryDelay
 		return next, err
--- a/router/relay/shutdown.go
+++ b/router/relay/shutdown.go
@@ -15,8 +15,7 @@
 	// lingerFraction is the fraction of the grace period in which a stopping
 	// node still accepts connections and requests, as callers learn late that it
 	// stops. finishFraction is the fraction after which requests in progress are
-	// cut off, and uploadFraction that after which uploads are refused, so that those
-	// that were complete before have time to run.
+	// cut off, and uploadFraction that after which no more of requests is read.
 	lingerFraction = 0.37
 	uploadFraction = 0.6
 	finishFraction = 0.93
@@ -33,7 +32,8 @@
 // From then on the readiness check fails and responses close their connections;
 // requests from callers that have not noticed are still served for the linger
 // time. Then the callers' listener is closed, so that no request is sent on a new
-// connection. Requests on open connections are refused, and some time later those
+// connection. Requests on open connections are refused, as are those that have not been
+// sent to a server and may not end in time, and some time later those
 // whose bodies are still being read. A connection is closed
 // after its last response. Those that are silent are closed last, when no request
 // is in progress, as a request may cross the closing.
@@ -55,9 +55,10 @@
 	stoppedAt := n.config.Clock()
 	uploadEnd := stoppedAt + time.Duration(uploadFraction*float64(grace))
 	finish := stoppedAt + time.Duration(finishFraction*float64(grace))
-	n.relay.stop(linger)
+	n.relay.stop(linger, finish)
 	n.log.StateChange().Int64("inflight", n.relay.inProgress()).Dur("linger", linger).Msg("router stopping")
 	sleep(ctx, linger)
+	n.relay.endLinger()
 	if err := n.callers.stopListening(); err != nil {
 		n.log.Failure(err).Msg("callers' listener not closed")
 	}
--- a/router/relay/upload_test.go
+++ b/router/relay/upload_test.go
@@ -14,8 +14,14 @@
 // beginUpload writes the head of a request and a part of its body.
 func (c *callerConn) beginUpload(framing, part string) {
 	c.t.Helper()
-	_, err := fmt.Fprintf(c, "POST /a/x HTTP/1.1\r\nHost: h.example\r\n%s: attempt-1\r\n%s: 60000\r\n%s\r\n\r\n%s",
-		attemptHeader, timeoutHeader, framing, part)
+	c.beginUploadOf("a", time.Minute, framing, part)
+}
+
+// beginUploadOf is beginUpload for a request of a class with a timeout.
+func (c *callerConn) beginUploadOf(class string, timeout time.Duration, framing, part string) {
+	c.t.Helper()
+	_, err := fmt.Fprintf(c, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\n%s: attempt-1\r\n%s: %d\r\n%s\r\n\r\n%s",
+		class, attemptHeader, timeoutHeader, timeout.Milliseconds(), framing, part)
 	gomega.NewWithT(c.t).Expect(err).NotTo(gomega.HaveOccurred())
 }
 
@@ -30,7 +36,7 @@
 	known.beginUpload("Content-Length: 100", "{")
 	chunked.beginUpload("Transfer-Encoding: chunked", "1\r\n{\r\n")
 	kept.beginUpload("Content-Length: 100", "")
-	inTime.beginUpload("Content-Length: 2", "{")
+	inTime.beginUploadOf("a", gracePeriod*4/5, "Content-Length: 2", "{")
 	time.Sleep(50 * time.Millisecond) // The node reads the bodies.
 	r.terminate(t)
 	time.Sleep(gracePeriod / 2) // After the listener was closed.
