--- a/router/internal/loadreport/codec.go
+++ b/router/internal/loadreport/codec.go
@@ -49,8 +49,8 @@
 
 	// UnheardMS is the time in milliseconds since the sender heard a server, or
 	// neverHeardMS.
-	UnheardMS  int64
-	OutOfReach bool
+	UnheardMS int64
+	Closed    bool
 }
 
 // neverHeardMS stands for the time since a router heard a server that has not heard any.
@@ -115,7 +115,7 @@
 	if m.HasPlan {
 		w.PlanAgeMS = m.PlanAge.Milliseconds()
 	}
-	w.UnheardMS, w.OutOfReach = neverHeardMS, m.Reach.OutOfReach
+	w.UnheardMS, w.Closed = neverHeardMS, m.Reach.Closed
 	if m.Reach.Heard {
 		w.UnheardMS = m.Reach.Unheard.Milliseconds()
 	}
@@ -154,7 +154,7 @@
 		return message{}, err
 	}
 	m := message{HasReport: w.HasReport, PlanAge: time.Duration(w.PlanAgeMS) * time.Millisecond, HasPlan: w.PlanAgeMS != noPlanAgeMS}
-	m.Reach = Reach{Heard: w.UnheardMS >= 0, Unheard: time.Duration(w.UnheardMS) * time.Millisecond, OutOfReach: w.OutOfReach}
+	m.Reach = Reach{Heard: w.UnheardMS >= 0, Unheard: time.Duration(w.UnheardMS) * time.Millisecond, Closed: w.Closed}
 	m.Proofs = Proofs{Plan: decodeProof(w.Plan), Servers: decodeProof(w.Servers)}
 	m.Report.Loads = decodeLoads(w.Loads)
 	for _, d := range w.Demands {
--- a/router/internal/loadreport/reach.go
+++ b/router/internal/loadreport/reach.go
@@ -11,20 +11,20 @@
 	Heard   bool
 	Unheard time.Duration
 
-	// OutOfReach says that no server answers the router.
-	OutOfReach bool
+	// Closed says that the router takes no requests of others, as no server answers it or it stops.
+	Closed bool
 }
 
 // peerReach is what another router said of its links to the servers. heardAt is when it last
 // heard one, or the zero time.
 type peerReach struct {
-	heardAt    time.Time
-	outOfReach bool
+	heardAt time.Time
+	closed  bool
 }
 
 // newPeerReach returns what a report says that is received now.
 func newPeerReach(now time.Time, reach Reach) peerReach {
-	p := peerReach{outOfReach: reach.OutOfReach}
+	p := peerReach{closed: reach.Closed}
 	if reach.Heard {
 		p.heardAt = now.Add(-reach.Unheard)
 	}
@@ -52,14 +52,14 @@
 	return false
 }
 
-// PeersInReach returns the addresses of the routers that are alive and did not say that no
-// server answers them.
+// PeersInReach returns the addresses of the routers that are alive and take requests of
+// others as far as they said.
 func (b *Broadcaster) PeersInReach(now time.Time) []netip.AddrPort {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var peers []netip.AddrPort
 	for _, peer := range b.live(now) {
-		if !b.reaches[peer].outOfReach {
+		if !b.reaches[peer].closed {
 			peers = append(peers, peer)
 		}
 	}
--- a/router/relay/callers.go
+++ b/router/relay/callers.go
@@ -16,8 +16,8 @@
 // stopping node closes it, so that a request that was sent before can arrive.
 const silenceTime = 500 * time.Millisecond
 
-// callerListener accepts callers' connections, and knows those that are open. A
-// node that stops closes the listener first, and its connections once they are
+// callerListener accepts connections of callers, or of routers that hand over their
+// requests, and knows those that are open. A node that stops closes the listener first, and its connections once they are
 // silent; http.Server.Shutdown is not used, as it drops requests that it reads.
 type callerListener struct {
 	*net.TCPListener
@@ -128,7 +128,7 @@
 	}
 }
 
-// callerConn is a connection of a caller.
+// callerConn is a connection of a caller, or of a router that hands over requests.
 type callerConn struct {
 	*net.TCPConn
 	listener *callerListener
--- a/router/relay/handover_serve.go
+++ b/router/relay/handover_serve.go
@@ -34,7 +34,7 @@
 	peer, ok := n.livePeer(r.RemoteAddr)
 	if !ok {
 		n.log.RepeatedFailure(time.Now(), "handover", errNoHandover).Str("from", r.RemoteAddr).Msg("hand-over by an unknown sender")
-		declineHandover(w, http.StatusForbidden)
+		n.relay.declineHandover(w, http.StatusForbidden)
 		return
 	}
 	n.relay.serveHandover(w, r, peer)
@@ -57,20 +57,20 @@
 
 // serveHandover takes over the request of another router, or declines it.
 func (r *relay) serveHandover(w http.ResponseWriter, call *http.Request, peer netip.Addr) {
-	if r.handedOver.Add(1) > maxHandedOver || r.refusesRequests() || r.outOfReach() || r.uplink.Behind(time.Now()) {
+	r.inflight.Add(1)
+	defer r.inflight.Add(-1)
+	if r.handedOver.Add(1) > maxHandedOver || r.stopping() || r.outOfReach() || r.uplink.Behind(time.Now()) {
 		r.handedOver.Add(-1)
-		declineHandover(w, http.StatusServiceUnavailable)
+		r.declineHandover(w, http.StatusServiceUnavailable)
 		return
 	}
 	defer r.handedOver.Add(-1)
-	r.inflight.Add(1)
-	defer r.inflight.Add(-1)
 	p := &proxiedRequest{relay: r, writer: w, arrivedAt: time.Now(), peer: peer}
 	defer p.releaseBody()
 	request, err := r.readHandover(p, call)
 	if err != nil {
 		r.options.log.Request(time.Now(), err).Str("router", peer.String()).Msg("hand-over not read")
-		declineHandover(w, http.StatusServiceUnavailable)
+		r.declineHandover(w, http.StatusServiceUnavailable)
 		return
 	}
 	p.handedOver = &request
@@ -80,7 +80,10 @@
 }
 
 // declineHandover answers that the request was not taken.
-func declineHandover(w http.ResponseWriter, status int) {
+func (r *relay) declineHandover(w http.ResponseWriter, status int) {
+	if r.stopping() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set(handover.OutcomeHeader, string(handover.Declined))
 	w.WriteHeader(status)
 }
--- a/router/relay/handover_test.go
+++ b/router/relay/handover_test.go
@@ -22,8 +22,10 @@
 	cut, sound *testNode
 	server     *backend
 
-	// handoverAddress is where the sound router takes requests.
+	// handoverAddress is where the sound router takes requests, and cutHost where the other one
+	// hands them over from.
 	handoverAddress string
+	cutHost         netip.Addr
 }
 
 // startPair starts two routers that know each other, and a server. The second one reaches it; the
@@ -40,7 +42,7 @@
 			c.HandoverAddress = netip.MustParseAddrPort(hosts[i] + ":" + handoverPort)
 		}
 	}
-	p := &pair{handoverAddress: hosts[1] + ":" + handoverPort}
+	p := &pair{handoverAddress: hosts[1] + ":" + handoverPort, cutHost: netip.MustParseAddr(hosts[0])}
 	var backends []*backend
 	p.sound, backends = startConfiguredNode(t, configure(1), plan, func(w http.ResponseWriter, req *http.Request) {
 		if strings.HasPrefix(req.URL.Path, "/keepalive/") {
--- a/router/relay/listen.go
+++ b/router/relay/listen.go
@@ -51,6 +51,20 @@
 	return handlers
 }
 
+// drained returns the listener for an address, which is one whose connections a stopping node lets
+// end if requests come on them.
+func (n *Node) drained(address string, listener *net.TCPListener) net.Listener {
+	switch {
+	case address == n.config.CallerAddress:
+		n.callers = newCallerListener(listener)
+		return n.callers
+	case n.config.HandoverAddress.IsValid() && address == n.config.HandoverAddress.String():
+		n.handovers = newCallerListener(listener)
+		return n.handovers
+	}
+	return listener
+}
+
 // serve adds an HTTP server to the group.
 func (n *Node) serve(ctx context.Context, group *run.Group, address string, handler http.Handler) error {
 	var listen net.ListenConfig
@@ -58,9 +72,8 @@
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
-	if tcp, ok := listener.(*net.TCPListener); ok && address == n.config.CallerAddress {
-		n.callers = newCallerListener(tcp)
-		listener = n.callers
+	if tcp, ok := listener.(*net.TCPListener); ok {
+		listener = n.drained(address, tcp)
 	}
 	server := &http.Server{
 		Handler:           handler,
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -137,8 +137,10 @@
 	limits      *sharedrate.Exchange
 	uplink      *uplink.Monitor
 
-	// callers is set by Run.
-	callers *callerListener
+	// callers and handovers are the listeners for callers and for routers that hand over requests.
+	// They are set by Run; handovers is nil if requests are not taken.
+	callers   *callerListener
+	handovers *callerListener
 
 	// indirectCalls holds a value for each call to the tables that is being made for
 	// another router.
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -131,7 +131,11 @@
 	p.countClass(func(c *classMetrics) metrics.Counter { return c.refused })
 	seconds := after.Seconds() * (1 + retryJitter*rand.Float64())
 	p.writer.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
-	p.setOutcome(handover.Refused)
+	if p.relay.stopping() { // Another router can take the request.
+		p.setOutcome(handover.Declined)
+	} else {
+		p.setOutcome(handover.Refused)
+	}
 	p.writeError(http.StatusServiceUnavailable, reason)
 }
 
--- a/router/relay/shutdown.go
+++ b/router/relay/shutdown.go
@@ -31,7 +31,8 @@
 // awaitStop waits for SIGTERM or SIGINT and lets the requests in progress end.
 // From then on the readiness check fails and responses close their connections;
 // requests from callers that have not noticed are still served for the linger
-// time. Then the callers' listener is closed, so that no request is sent on a new
+// time. Those of other routers are declined, and those that were taken over are in
+// progress like any. Then the listeners of both are closed, so that no request is sent on a new
 // connection. Requests on open connections are refused, as are those that have not been
 // sent to a server and may not end in time, and some time later those
 // whose bodies are still being read. A connection is closed
@@ -59,24 +60,56 @@
 	n.log.StateChange().Int64("inflight", n.relay.inProgress()).Dur("linger", linger).Msg("router stopping")
 	sleep(ctx, linger)
 	n.relay.endLinger()
-	if err := n.callers.stopListening(); err != nil {
-		n.log.Failure(err).Msg("callers' listener not closed")
-	}
+	n.stopListening()
 	closedAt := time.Now()
 	n.log.StateChange().Int64("inflight", n.relay.inProgress()).
 		Int("connections", n.callers.openConnections()).Msg("callers' listener closed")
-	for !n.callers.drained() && n.config.Clock() < finish && ctx.Err() == nil {
+	for !n.allDrained() && n.config.Clock() < finish && ctx.Err() == nil {
 		if n.config.Clock() >= uploadEnd {
 			n.relay.endUploads()
 		}
 		if time.Since(closedAt) >= silenceTime && n.relay.inProgress() == 0 {
-			n.callers.closeSilent(time.Now().Add(-silenceTime))
+			n.closeSilent(time.Now().Add(-silenceTime))
 		}
 		sleep(ctx, drainPollInterval)
 	}
 	return errStopped
 }
 
+// drainedListeners returns the listeners whose connections end before the node does.
+func (n *Node) drainedListeners() []*callerListener {
+	if n.handovers == nil {
+		return []*callerListener{n.callers}
+	}
+	return []*callerListener{n.callers, n.handovers}
+}
+
+// stopListening closes the listeners on which requests come.
+func (n *Node) stopListening() {
+	for _, l := range n.drainedListeners() {
+		if err := l.stopListening(); err != nil {
+			n.log.Failure(err).Stringer("address", l.Addr()).Msg("listener not closed")
+		}
+	}
+}
+
+// allDrained reports whether all connections on which requests come are closed.
+func (n *Node) allDrained() bool {
+	for _, l := range n.drainedListeners() {
+		if !l.drained() {
+			return false
+		}
+	}
+	return true
+}
+
+// closeSilent makes connections close that have been silent since a time.
+func (n *Node) closeSilent(since time.Time) {
+	for _, l := range n.drainedListeners() {
+		l.closeSilent(since)
+	}
+}
+
 // sleep waits for d or for the end of the context.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/router/relay/uplink.go
+++ b/router/relay/uplink.go
@@ -36,11 +36,12 @@
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 }
 
-// reach returns what load reports say of the links to the servers.
+// reach returns what load reports say of the links to the servers. A router that stops takes no
+// requests of others either.
 func (r *relay) reach() loadreport.Reach {
 	now := time.Now()
 	heardAt, heard := r.contacts.HeardAt()
-	return loadreport.Reach{Heard: heard, Unheard: max(now.Sub(heardAt), 0), OutOfReach: r.outOfReach()}
+	return loadreport.Reach{Heard: heard, Unheard: max(now.Sub(heardAt), 0), Closed: r.outOfReach() || r.stopping()}
 }
 
 // probableServers returns the IDs of the servers that accept requests.
