--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -244,6 +244,9 @@
 			if p.relay.rests(target) || !p.mayUse(ctx, at, target) {
 				return placement.ErrLimited
 			}
+			if !p.mayWrite(at, target) { // The request may have waited for a place or a permit.
+				return errServerLeaving
+			}
 			p.sendDelay, p.sentAt = time.Since(p.chosenAt), p.relay.options.clock()
 			at.lease = p.relay.limits.Enter(target.usage.placeKey, at.lease)
 			p.countLimited(target)
