--- a/router/relay/migration_return.go
+++ b/router/relay/migration_return.go
@@ -12,6 +12,10 @@
 // The rest is for the way of the request.
 const stoppedRunFraction = 0.9
 
+// longAgo is the time on the clock from which a server counts as leaving if nothing bounds when it
+// began to.
+const longAgo = 1
+
 // leavingServer is a server that leaves, and since when the router knows it.
 type leavingServer struct {
 	*backendServer
@@ -29,7 +33,7 @@
 // last known to be current.
 func (r *relay) recordLeaving(b *backendServer) {
 	since := r.options.clock() - max(r.serversAge(), 0)
-	b.usage.leavingSince.CompareAndSwap(0, max(int64(since), 1))
+	b.usage.leavingSince.CompareAndSwap(0, max(int64(since), longAgo))
 }
 
 // takesStoppedRuns reports whether a server that leaves may still be sent a run that was stopped
--- a/router/relay/servers.go
+++ b/router/relay/servers.go
@@ -51,8 +51,8 @@
 	// heardAt is the time on the clock at which the request of the last response was sent.
 	heardAt atomic.Int64
 
-	// leavingSince is the earliest time on the clock at which the server can have begun to leave, or
-	// zero while it is not known to.
+	// leavingSince is the earliest time on the clock at which the server can have begun to leave,
+	// longAgo if it was leaving when it was first listed, or zero while it is not known to leave.
 	leavingSince atomic.Int64
 
 	// leavingSaid says that a response said that the server leaves.
@@ -123,6 +123,9 @@
 		if !ok || !b.sameLifetime(s) {
 			b = &backendServer{pool: hop.NewPool(s.Address), usage: newServerUsage(s)}
 			b.usage.listedAt = r.options.clock()
+			if s.Draining {
+				b.usage.leavingSince.Store(longAgo)
+			}
 		}
 		_, corrected := outdated[id]
 		next[id] = &backendServer{Server: s, pool: b.pool, entryDraining: s.Draining && !corrected, usage: b.usage}
@@ -213,6 +216,7 @@
 		r.recordLeaving(s)
 		r.migrateStreams(s)
 	case !s.Draining && old.Draining:
+		s.usage.leavingSince.Store(0)
 		r.logLeaving(old).Msg("backend server accepting again")
 	}
 }
--- a/router/relay/stopped_run_bounds_test.go
+++ b/router/relay/stopped_run_bounds_test.go
@@ -1,8 +1,10 @@
 package relay_test
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -51,3 +53,44 @@
 	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
 	g.Expect(n.continued).NotTo(gomega.Receive())
 }
+
+// address returns the address of an engine.
+func (n *migrationNode) address(id string) string {
+	i := slices.IndexFunc(n.backends, func(b *backend) bool { return b.id == id })
+	return n.backends[i].server.Listener.Addr().String()
+}
+
+// Guards against requests that reach a leaving server late: its entry is gone, comes back with an
+// outdated write and goes again, so that it seems to have begun to leave then.
+func TestStoppedRunDoesNotReturnLateToAServerThatWasListedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	var room atomic.Bool
+	startStoppedRunNode(t, n, scriptedMigrator{
+		copyRun: func() error {
+			if !room.Load() {
+				return errNoRoom
+			}
+			return nil
+		},
+		migrate: func(_ context.Context, request relay.MigrationRequest) (relay.KVCopy, error) {
+			close(n.stopped)
+			return relay.KVCopy{Source: request.Source, Handle: "h1"}, errNoRoom
+		},
+	}, 2)
+	n.waitUntil(t, n.logged("backend server draining", 1))
+	left := time.Now()
+	source := n.address(n.source)
+	n.remove(source)
+	n.waitUntil(t, n.logged("backend server removed", 1))
+	n.drain(func(string) bool { return false })
+	n.waitUntil(t, n.logged("backend server added", 3))
+	time.Sleep(time.Until(left.Add(stoppedRunDrain * 8 / 10)))
+	n.remove(source)
+	n.waitUntil(t, n.logged("backend server removed", 2))
+	time.Sleep(time.Until(left.Add(stoppedRunDrain)))
+	room.Store(true)
+	end := <-n.end
+	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
+	g.Expect(n.sourceArrivals()).To(gomega.Equal(1))
+}
