--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -241,7 +241,7 @@
 			if p.isQuarantined(true) {
 				return errQuarantined
 			}
-			if p.relay.rests(target) || !p.mayUse(ctx, at, target) {
+			if !p.mayUse(ctx, at, target) {
 				return placement.ErrLimited
 			}
 			if !p.mayWrite(at, target) { // The request may have waited for a place or a permit.
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -158,6 +158,9 @@
 // request that may have run, or whose KV cache was copied there, waits for it.
 func (p *proxiedRequest) mayUse(ctx context.Context, at *place, target *backendServer) bool {
 	limits := p.relay.limits
+	if !p.awaitRest(ctx, at, target) {
+		return false
+	}
 	if limits.Usable(target.usage.key, at.permit) && (!p.relay.needsPlace(target) || limits.Holds(at.lease)) {
 		return true
 	}
--- a/router/relay/rest.go
+++ b/router/relay/rest.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,3 +41,13 @@
 func (r *relay) rests(target *backendServer) bool {
 	return r.options.clock() < time.Duration(target.usage.restingUntil.Load())
 }
+
+// awaitRest reports whether the server wants requests of this router now. A request whose KV cache was
+// copied there waits for that up to retryWait, as its run was stopped.
+func (p *proxiedRequest) awaitRest(ctx context.Context, at *place, target *backendServer) bool {
+	left := time.Duration(target.usage.restingUntil.Load()) - p.relay.options.clock()
+	if left > 0 && left <= retryWait && at.kvCopy.Handle != "" {
+		sleep(ctx, left)
+	}
+	return !p.relay.rests(target)
+}
--- a/router/relay/stopped_run_bounds_test.go
+++ b/router/relay/stopped_run_bounds_test.go
@@ -94,3 +94,33 @@
 	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
 	g.Expect(n.sourceArrivals()).To(gomega.Equal(1))
 }
+
+// Guards against streams that are cut because the destination of their migration rests for a
+// moment once their run has been stopped, when it is too late to return to the source.
+func TestStoppedRunWaitsForARestingDestination(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	var resting atomic.Bool
+	n.begin = func(w http.ResponseWriter, _ *http.Request) func() {
+		if resting.Load() {
+			w.Header().Set(notExecutedHeader, "rests")
+			w.Header().Set("Retry-After", "0.5")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(signedHeader, "yes")
+		_, _ = io.WriteString(w, firstTwo)
+		_ = http.NewResponseController(w).Flush()
+		return func() { panic(http.ErrAbortHandler) }
+	}
+	startStoppedRunNode(t, n, hookedMigrator{stopped: func(relay.MigrationRequest) {
+		time.Sleep(stoppedRunDrain * 7 / 10)
+		resting.Store(true)
+		n.call(t, http.MethodPost, "/a/x", "")
+		close(n.stopped)
+	}}, 2)
+	end := <-n.end
+	g.Expect(end.err).NotTo(gomega.HaveOccurred())
+	g.Expect(end.body).To(gomega.Equal(fourEvents))
+}
