--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -78,10 +78,11 @@
 // migrateInTurn migrates the streams that are on a leaving server one after the other. An engine
 // copies KV caches in the order of the calls, so that a run which was stopped would wait for
 // all copies that were asked for before. A migration that takes longer than migrationTimeout keeps
-// the next one waiting no longer.
+// the next one waiting no longer. What is known of a stream is looked at when its turn comes.
 func (r *relay) migrateInTurn(leaving *leavingServer) {
-	for p, state := range r.streams.startedOn(leaving.ID) {
-		if !r.mustMigrate(p, state, leaving) {
+	for _, p := range r.streams.startedOn(leaving.ID) {
+		state, ok := r.streams.stateOn(p, leaving.ID)
+		if !ok || r.acceptsAgain(leaving.Server) || !r.mustMigrate(p, state, leaving) {
 			continue
 		}
 		ended := make(chan struct{})
--- a/router/relay/stream_registry.go
+++ b/router/relay/stream_registry.go
@@ -89,19 +89,36 @@
 }
 
 // startedOn returns the streams on a server that have sent events, are not being
-// migrated and may be, with their state.
-func (s *streamRegistry) startedOn(server string) map[*proxiedRequest]streamState {
+// migrated and may be.
+func (s *streamRegistry) startedOn(server string) []*proxiedRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := make(map[*proxiedRequest]streamState)
+	var found []*proxiedRequest
 	for p, state := range s.open {
-		if state.server == server && state.events > 0 && state.migration == nil && !state.stays {
-			found[p] = *state
+		if state.mayMigrateFrom(server) {
+			found = append(found, p)
 		}
 	}
 	return found
 }
 
+// stateOn returns the state of a stream, and false if startedOn does not return it any more.
+func (s *streamRegistry) stateOn(p *proxiedRequest, server string) (streamState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.open[p]
+	if !ok || !state.mayMigrateFrom(server) {
+		return streamState{}, false
+	}
+	return *state, true
+}
+
+// mayMigrateFrom reports whether the stream is on a server, has sent events, is not being migrated and
+// may be. The caller holds the registry's mutex.
+func (s *streamState) mayMigrateFrom(server string) bool {
+	return s.server == server && s.events > 0 && s.migration == nil && !s.stays
+}
+
 // beginMigration marks a stream on a server as being migrated and returns the
 // channel for the result. It returns nil if the stream is no longer there or is
 // already being migrated.
