--- a/router/relay/migration_return_test.go
+++ b/router/relay/migration_return_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -63,3 +64,34 @@
 	g.Expect(end.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
 	g.Expect(n.sourceArrivals()).To(gomega.Equal(2))
 }
+
+// Guards against streams that are cut because there is no retry in the budget at the moment in which
+// the destination of their migration rejects them, though one comes up soon.
+func TestRejectedCopyWaitsForARetry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	const others = 3 // Requests that earn a retry.
+	n.began = make(chan string, 1+others)
+	n.resume = inTurn(func(w http.ResponseWriter, req *http.Request) {
+		time.AfterFunc(200*time.Millisecond, func() {
+			for range others {
+				go n.call(t, http.MethodPost, "/a/x", "")
+			}
+		})
+		rejectRequest(w, req)
+	}, streamEvents(1, 4, true))
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		c.Bounds.DrainTimeout = returnDrainTimeout
+		c.Bounds.RetryRatio = 1
+		c.Heartbeat = 50 * time.Millisecond
+		c.Migrator = migratorFunc(func(request relay.MigrationRequest) (relay.KVCopy, error) {
+			close(n.stopped)
+			return relay.KVCopy{Source: request.Source, Handle: "h1"}, nil
+		})
+	}, 2)
+	n.startStream(t)
+	n.drain(func(id string) bool { return id == n.source })
+	end := <-n.end
+	g.Expect(end.err).NotTo(gomega.HaveOccurred())
+	g.Expect(end.body).To(gomega.Equal(fourEvents))
+}
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -72,7 +72,7 @@
 		next = p.awaitMigration(ctx)
 	}
 	if next == nil {
-		next = p.placeAfterRejection(last, result)
+		next = p.placeAfterRejection(ctx, last, result)
 	}
 	if next == nil {
 		next, reason = p.retry(ctx, result)
@@ -100,13 +100,13 @@
 }
 
 // placeAfterRejection returns a place at the source of a migrated run that its
-// destination did not accept, or nil.
-func (p *proxiedRequest) placeAfterRejection(last *place, result attemptResult) *place {
+// destination did not accept, or nil. What the destination rejected takes a retry.
+func (p *proxiedRequest) placeAfterRejection(ctx context.Context, last *place, result attemptResult) *place {
 	if result != notExecuted && result != notSent {
 		return nil
 	}
 	back := p.placeAtSource(last)
-	if back != nil && result == notExecuted && !p.take(time.Now(), p.relay.retryBudget.Take) {
+	if back != nil && result == notExecuted && !p.takeRetry(ctx, result) {
 		back.reservation.Done(time.Now(), placement.Canceled)
 		return nil
 	}
