--- a/router/relay/migration.go
+++ b/router/relay/migration.go
@@ -256,7 +256,7 @@
 	}
 	select {
 	case migration := <-results:
-		p.runStopped = true
+		p.runStopped = migration.kvCopy.Handle != ""
 		if migration.err != nil {
 			return p.placeAtSource(migration.place)
 		}
--- a/router/relay/migration_fail_test.go
+++ b/router/relay/migration_fail_test.go
@@ -156,3 +156,18 @@
 	g.Expect(end.err).NotTo(gomega.HaveOccurred())
 	g.Expect(end.body).To(gomega.HaveSuffix("id: 4\ndata: 4\n\n"))
 }
+
+// Guards against runs that are counted as stopped for a migration though their engine broke them off
+// before it was ordered to stop them.
+func TestRunThatBrokeOffIsNotCountedAsStopped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	startStoppedRunNode(t, n, scriptedMigrator{copyRun: func() error {
+		close(n.stopped)
+		time.Sleep(100 * time.Millisecond) // The stream ends before.
+		return errNoRoom
+	}}, 2)
+	end := <-n.end
+	g.Expect(end.err).To(gomega.HaveOccurred())
+	g.Expect(n.counter(t, "migrations.stranded")).To(gomega.BeZero())
+}
