--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -226,65 +226,6 @@
 	return false
 }
 
-// hopRequest builds the request for a server.
-func (p *proxiedRequest) hopRequest(ctx context.Context, at *place, target *backendServer) hop.Request {
-	header := p.relay.options.codec.ForwardHeader(endToEnd(p.request.Header), ForwardInfo{
-		InstanceID:  target.ID,
-		Timeout:     time.Until(p.deadline),
-		Team:        p.teamName(),
-		Rank:        p.rank,
-		RankCount:   len(p.index.ranks),
-		LastEventID: p.lastEventID,
-		KVCopy:      p.kvCopy,
-	})
-	return hop.Request{
-		Method:  p.request.Method,
-		Target:  p.requestTarget,
-		Host:    p.request.Host,
-		Header:  header,
-		Body:    p.body,
-		HasBody: p.hasBody,
-		BeforeWrite: func() error {
-			if !p.mayWrite(at, target) {
-				return errServerLeaving
-			}
-			if p.isQuarantined(true) {
-				return errQuarantined
-			}
-			if !p.mayUse(ctx, at, target) {
-				return placement.ErrLimited
-			}
-			if !p.mayWrite(at, target) { // The request may have waited for a place or a permit.
-				return errServerLeaving
-			}
-			if !p.mayBegin() {
-				return errStopping
-			}
-			p.sendDelay, p.sentAt = time.Since(p.chosenAt), p.relay.options.clock()
-			at.lease = p.relay.limits.Enter(target.usage.placeKey, at.lease)
-			p.countLimited(target)
-			return nil
-		},
-		Matches: func(header http.Header, first bool) bool {
-			info := p.relay.options.codec.ParseResponse(0, header)
-			return info.AttemptID == p.info.AttemptID || first && info.AttemptID == "" && !info.Signed
-		},
-	}
-}
-
-// mayWrite reports whether a request may still be sent to the server of a place.
-func (p *proxiedRequest) mayWrite(at *place, target *backendServer) bool {
-	return p.relay.accepts(target) || at.kvCopy.Handle != "" && p.relay.takesStoppedRuns(target)
-}
-
-// teamName returns the name of the caller's team, or an empty string.
-func (p *proxiedRequest) teamName() string {
-	if p.team == nil {
-		return ""
-	}
-	return p.team.Name
-}
-
 // relayResponse forwards a response to the caller. A server error is kept as
 // fallback instead, as another server may give a better response.
 func (p *proxiedRequest) relayResponse(response *hop.Response, reservation *placement.Reservation, watch *watchdog) (attemptResult, error) {
--- a/router/relay/metrics.go
+++ b/router/relay/metrics.go
@@ -22,41 +22,47 @@
 type requestMetrics struct {
 	registry metrics.Registry
 
-	// resumed counts the retries after the response had begun, silent the times
-	// that a server made no progress for longer than a healthy one takes, crashes
-	// the servers that ended while attempts were in progress there, quarantined the
-	// requests that a verdict on a part of their prompts refused, and stale the requests that were refused for lack of a current plan. firstByte
-	// is the time to the first byte of a response, in milliseconds. limited counts the
-	// attempts sent to servers that name a limit, unpermitted the choices that found no
-	// server with a permit left, keptBack the permits that were denied, and unanswered
-	// those for which no home answered. probes counts the health checks by which the links
-	// to the servers are judged. handovers counts the requests that another router took,
-	// handoversDeclined the offers that one did not take, and handedOver the requests of
-	// other routers that this one took. stranded counts the runs that were stopped for a migration and
-	// did not go on.
-	requests    metrics.Counter
-	served      metrics.Counter
-	refused     metrics.Counter
-	failed      metrics.Counter
-	abandoned   metrics.Counter
-	retries     metrics.Counter
-	resumed     metrics.Counter
-	stranded    metrics.Counter
-	silent      metrics.Counter
-	crashes     metrics.Counter
+	// Requests of callers, and their outcomes.
+	requests  metrics.Counter
+	served    metrics.Counter
+	refused   metrics.Counter
+	failed    metrics.Counter
+	abandoned metrics.Counter
+
+	// quarantined counts the requests that a verdict on a part of their prompts refused, and stale
+	// those that were refused for lack of a current plan.
 	quarantined metrics.Counter
+	stale       metrics.Counter
+
+	// firstByte is the time to the first byte of a response, in milliseconds.
+	firstByte metrics.Histogram
+
+	// resumed counts the retries after the response had begun, and stranded the runs that were
+	// stopped for a migration and did not go on.
+	retries  metrics.Counter
+	resumed  metrics.Counter
+	stranded metrics.Counter
+
+	// silent counts the times that a server made no progress for longer than a healthy one takes,
+	// crashes the servers that ended while attempts were in progress there, and probes the health
+	// checks by which the links to the servers are judged.
+	silent  metrics.Counter
+	crashes metrics.Counter
+	probes  metrics.Counter
+
+	// limited counts the attempts sent to servers that name a limit, unpermitted the choices that
+	// found no server with a permit left, keptBack the permits that were denied, and unanswered
+	// those for which no home answered.
 	limited     metrics.Counter
 	unpermitted metrics.Counter
 	keptBack    metrics.Counter
 	unanswered  metrics.Counter
-	probes      metrics.Counter
-	handedOver  metrics.Counter
-	handovers   metrics.Counter
 
+	// handovers counts the requests that another router took, handoversDeclined the offers that one
+	// did not take, and handedOver the requests of other routers that this one took.
+	handovers         metrics.Counter
 	handoversDeclined metrics.Counter
-
-	stale     metrics.Counter
-	firstByte metrics.Histogram
+	handedOver        metrics.Counter
 
 	// mu guards the fields below. classes holds the classes of the plan; the
 	// value is nil before the first outcome.
