--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -64,10 +64,10 @@
 
 // Config configures a broadcaster.
 type Config struct {
-	// Address is the address to listen on. Seeds are the addresses of some
-	// other routers.
+	// Address is the address to listen on. Seeds returns the addresses of some
+	// other routers, which may change; if it is nil, there are none.
 	Address  netip.AddrPort
-	Seeds    []netip.AddrPort
+	Seeds    func() []netip.AddrPort
 	Balancer Balancer
 
 	// PlanAge returns the time since the router's plan was last known to be the
@@ -124,6 +124,9 @@
 
 // New returns a broadcaster. It opens no socket before Run.
 func New(config Config) *Broadcaster {
+	if config.Seeds == nil {
+		config.Seeds = func() []netip.AddrPort { return nil }
+	}
 	return &Broadcaster{
 		config:   config,
 		announce: make(chan struct{}, 1),
@@ -212,6 +215,7 @@
 // activePeers drops the peers whose time is over and returns the others
 // including the seeds.
 func (b *Broadcaster) activePeers(now time.Time) []netip.AddrPort {
+	seeds := b.config.Seeds()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for peer, until := range b.peers {
@@ -225,7 +229,7 @@
 	if live := len(b.live(now)); live > b.mostLive {
 		b.mostLive, b.mostLiveSince = live, now
 	}
-	for _, seed := range b.config.Seeds {
+	for _, seed := range seeds {
 		b.addPeer(seed, now.Add(introducedTimeout))
 	}
 	peers := make([]netip.AddrPort, 0, len(b.peers))
--- a/router/internal/loadreport/broadcaster_test.go
+++ b/router/internal/loadreport/broadcaster_test.go
@@ -65,6 +65,11 @@
 	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
+// seeds returns a function that returns addresses.
+func seeds(addresses ...netip.AddrPort) func() []netip.AddrPort {
+	return func() []netip.AddrPort { return addresses }
+}
+
 // TestRoutersDiscoverEachOtherFromOneSeed starts routers that know only the
 // address of the first one, and waits until each has received reports from all
 // others.
@@ -85,7 +90,7 @@
 		}
 		age := time.Duration(i) * time.Hour
 		broadcaster := loadreport.New(loadreport.Config{
-			Address: address, Seeds: []netip.AddrPort{seed}, Balancer: b,
+			Address: address, Seeds: seeds(seed), Balancer: b,
 			PlanAge: func() (time.Duration, bool) { return age, true }, ReportError: func(error) {},
 			Proofs: func() loadreport.Proofs { return proofsOf(i) }, HearProofs: heard.add,
 		})
@@ -139,7 +144,7 @@
 	start := func(address netip.AddrPort, number uint32) (*loadreport.Broadcaster, *fakeBalancer) {
 		b := &fakeBalancer{number: number, received: make(map[uint32]placement.LoadReport)}
 		broadcaster := loadreport.New(loadreport.Config{
-			Address: address, Seeds: []netip.AddrPort{seed}, Balancer: b,
+			Address: address, Seeds: seeds(seed), Balancer: b,
 			PlanAge: func() (time.Duration, bool) { return 0, false }, ReportError: func(error) {},
 			Proofs: func() loadreport.Proofs { return loadreport.Proofs{} }, HearProofs: func(loadreport.Proofs) {},
 		})
@@ -166,7 +171,7 @@
 	defer running.Wait()
 	start := func(ctx context.Context, address netip.AddrPort, number uint32) *loadreport.Broadcaster {
 		broadcaster := loadreport.New(loadreport.Config{
-			Address: address, Seeds: []netip.AddrPort{seed},
+			Address: address, Seeds: seeds(seed),
 			Balancer: &fakeBalancer{number: number, received: make(map[uint32]placement.LoadReport)},
 			PlanAge:  func() (time.Duration, bool) { return 0, false }, ReportError: func(error) {},
 			Proofs: func() loadreport.Proofs { return loadreport.Proofs{} }, HearProofs: func(loadreport.Proofs) {},
--- a/router/internal/loadreport/odd_report_test.go
+++ b/router/internal/loadreport/odd_report_test.go
@@ -74,7 +74,7 @@
 	var running sync.WaitGroup
 	for address, config := range map[netip.AddrPort]loadreport.Config{
 		to:   {Balancer: receiver, ReportError: func(error) { dropped.Add(1) }},
-		from: {Balancer: sender, Seeds: []netip.AddrPort{to}, ReportError: func(error) {}},
+		from: {Balancer: sender, Seeds: seeds(to), ReportError: func(error) {}},
 	} {
 		config.Address = address
 		config.PlanAge = func() (time.Duration, bool) { return 0, true }
--- a/router/internal/quarantine/exchange.go
+++ b/router/internal/quarantine/exchange.go
@@ -49,8 +49,9 @@
 	Address netip.AddrPort
 	Members func(now time.Time) []netip.AddrPort
 
-	// Seeds are the addresses of some other routers, which may be alive.
-	Seeds []netip.AddrPort
+	// Seeds returns the addresses of some other routers, which may be alive. They may
+	// change. If it is nil, there are none.
+	Seeds func() []netip.AddrPort
 
 	// Name identifies this router in verdicts.
 	Name string
@@ -93,6 +94,9 @@
 
 // NewExchange returns an exchange with an empty ledger. It opens no socket before Run.
 func NewExchange(config Config) *Exchange {
+	if config.Seeds == nil {
+		config.Seeds = func() []netip.AddrPort { return nil }
+	}
 	e := &Exchange{config: config, socket: datagram.NewSocket(config.Address, config.ReportError), sound: make(map[Key]int)}
 	e.synced.Store(!config.Address.IsValid()) // Without an address there is nobody to ask.
 	e.ledger = NewLedger(time.Now(), config.Name, func(key Key) bool { return e.isHome(time.Now(), key) })
@@ -135,7 +139,7 @@
 	for {
 		now := time.Now()
 		if !e.Synced() {
-			e.sendAll(message{Ask: true}, append(e.config.Members(now), e.config.Seeds...))
+			e.sendAll(message{Ask: true}, append(e.config.Members(now), e.config.Seeds()...))
 		}
 		if verdicts := e.nextDigest(); len(verdicts) > 0 {
 			e.sendAll(message{Verdicts: verdicts}, sample(e.config.Members(now)))
--- a/router/internal/sharedrate/exchange.go
+++ b/router/internal/sharedrate/exchange.go
@@ -38,10 +38,11 @@
 type Config struct {
 	// Address is the address to listen on, or invalid if Run is not called; the router is
 	// then the only one. Members returns the addresses of the exchanges of the other
-	// routers that are alive, and Seeds are the addresses of some that may be.
+	// routers that are alive, and Seeds those of some that may be, which may change; if
+	// it is nil, there are none.
 	Address netip.AddrPort
 	Members func(now time.Time) []netip.AddrPort
-	Seeds   []netip.AddrPort
+	Seeds   func() []netip.AddrPort
 
 	// Clock must not stop while the VM is suspended.
 	Clock feed.Clock
@@ -129,13 +130,16 @@
 
 // NewExchange returns an exchange that knows no limits. It opens no socket before Run.
 func NewExchange(config Config) *Exchange {
+	if config.Seeds == nil {
+		config.Seeds = func() []netip.AddrPort { return nil }
+	}
 	now := config.Clock()
 	e := &Exchange{
 		config:      config,
 		startedAt:   now,
 		socket:      datagram.NewSocket(config.Address, config.ReportError),
 		statements:  make(statements),
-		view:        newView(config.Address, now, config.Seeds),
+		view:        newView(config.Address, now, config.Seeds()),
 		buckets:     make(map[Key]*bucket),
 		wanted:      make(map[Key]*wanted),
 		pending:     make(map[Key]struct{}),
@@ -212,9 +216,10 @@
 	if fresh {
 		return now
 	}
-	members, settle := e.config.Members(time.Now()), e.config.SettleTime()
+	members, seeds, settle := e.config.Members(time.Now()), e.config.Seeds(), e.config.SettleTime()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.view.nameSeeds(now, seeds)
 	e.view.refresh(now, members, settle)
 	return now
 }
--- a/router/internal/sharedrate/fleet_test.go
+++ b/router/internal/sharedrate/fleet_test.go
@@ -212,7 +212,7 @@
 	exchange := sharedrate.NewExchange(sharedrate.Config{
 		Address:     r.address,
 		Members:     func(time.Time) []netip.AddrPort { return r.members() },
-		Seeds:       []netip.AddrPort{r.fleet.routers[0].address, r.fleet.routers[1%len(r.fleet.routers)].address},
+		Seeds:       r.fleet.seeds,
 		Clock:       func() time.Duration { return time.Since(r.fleet.start) },
 		SettleTime:  func() time.Duration { return 2 * r.fleet.liveTime() },
 		OnChange:    func(sharedrate.Key, sharedrate.Statement, netip.AddrPort) {},
@@ -229,6 +229,11 @@
 	r.fleet.senders.Go(func() { _ = exchange.Run(ctx) })
 }
 
+// seeds returns the seeds that the settings name.
+func (f *fleet) seeds() []netip.AddrPort {
+	return []netip.AddrPort{f.routers[0].address, f.routers[1%len(f.routers)].address}
+}
+
 // restart replaces the process of a router by a new one that has heard nobody.
 func (r *router) restart() {
 	r.kill()
--- a/router/internal/sharedrate/placehome.go
+++ b/router/internal/sharedrate/placehome.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	var out []parcel
-	for _, router := range slices.Concat(e.view.members(), e.config.Seeds) {
+	for _, router := range slices.Concat(e.view.members(), e.view.seeds) {
 		if e.greeted[router] < 2 && router != e.config.Address {
 			e.greeted[router]++
 			out = append(out, parcel{to: router, placeMessage: placeMessage{Started: true}})
--- a/router/internal/sharedrate/sync.go
+++ b/router/internal/sharedrate/sync.go
@@ -25,9 +25,9 @@
 		return
 	}
 	e.mu.Lock()
-	others := slices.Clone(e.view.members())
+	others := slices.Concat(e.view.members(), e.view.seeds)
 	e.mu.Unlock()
-	e.sendAll(message{Sync: syncAsk}, append(others, e.config.Seeds...))
+	e.sendAll(message{Sync: syncAsk}, others)
 }
 
 // answerSync sends all statements to a router, and the number of routers that it should
--- a/router/internal/sharedrate/view.go
+++ b/router/internal/sharedrate/view.go
@@ -1,6 +1,7 @@
 package sharedrate
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -42,10 +43,11 @@
 	most   int
 	mostAt time.Duration
 
-	// unheard are the seeds that were not heard since the start. Until seedsUntil they count
-	// as routers that may be alive on the other side of a partition.
-	unheard    map[netip.AddrPort]struct{}
-	seedsUntil time.Duration
+	// seeds are the seeds that were named last. unheard are those that were not heard since
+	// they were named. They count as routers that may be alive on the other side of a
+	// partition, each until the time on the clock that is its value.
+	seeds   []netip.AddrPort
+	unheard map[netip.AddrPort]time.Duration
 }
 
 // memberSet is the other routers that were alive from a time on, in ascending order.
@@ -56,15 +58,21 @@
 
 // newView returns a view that has heard no other routers. Some may be alive, the seeds.
 func newView(own netip.AddrPort, now time.Duration, seeds []netip.AddrPort) *view {
-	v := &view{own: own, sets: []memberSet{{from: now}}, since: now, refreshedAt: now, mostAt: now, seedsUntil: now + routerMemory}
-	v.unheard = make(map[netip.AddrPort]struct{})
+	v := &view{own: own, sets: []memberSet{{from: now}}, since: now, refreshedAt: now, mostAt: now}
+	v.unheard = make(map[netip.AddrPort]time.Duration)
+	v.nameSeeds(now, seeds)
+	v.most = 1 + len(v.unheard)
+	return v
+}
+
+// nameSeeds takes over the seeds. Those that were not named before may be alive.
+func (v *view) nameSeeds(now time.Duration, seeds []netip.AddrPort) {
 	for _, seed := range seeds {
-		if seed != own {
-			v.unheard[seed] = struct{}{}
+		if seed != v.own && !slices.Contains(v.seeds, seed) {
+			v.unheard[seed] = now + routerMemory
 		}
 	}
-	v.most = 1 + len(v.unheard)
-	return v
+	v.seeds = seeds
 }
 
 // refresh takes over the routers that are alive now. settle is how long routers may
@@ -85,9 +93,7 @@
 	for _, member := range members {
 		delete(v.unheard, member)
 	}
-	if now > v.seedsUntil {
-		clear(v.unheard)
-	}
+	maps.DeleteFunc(v.unheard, func(_ netip.AddrPort, until time.Duration) bool { return now > until })
 	v.countRouters(now, len(members)+1+len(v.unheard))
 }
 
--- a/router/relay/exchange.go
+++ b/router/relay/exchange.go
@@ -12,7 +12,7 @@
 func (n *Node) useBroadcaster() {
 	n.broadcaster = loadreport.New(loadreport.Config{
 		Address:  n.config.PeerAddress,
-		Seeds:    n.config.PeerSeeds,
+		Seeds:    n.peerSeeds,
 		Balancer: n.relay.balancer,
 		PlanAge:  n.relay.planAge,
 		Proofs:   n.proofs,
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -41,7 +41,7 @@
 			}
 			return withPort(n.broadcaster.Live(now), n.config.LimitAddress.Port())
 		},
-		Seeds: withPort(append([]netip.AddrPort(nil), n.config.PeerSeeds...), n.config.LimitAddress.Port()),
+		Seeds: func() []netip.AddrPort { return withPort(slices.Clone(n.peerSeeds()), n.config.LimitAddress.Port()) },
 		Clock: n.config.Clock,
 		// A router takes as long to find out that another one has ended, and that one as long
 		// to find out that it is alone.
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -76,9 +77,9 @@
 	// zero if it is not known.
 	Heartbeat time.Duration
 
-	// Reload reads the bounds from the settings again. It is called on SIGHUP
-	// and periodically. If it is nil, the bounds never change.
-	Reload func() (Bounds, error)
+	// Reload reads the settings that may change again. It is called on SIGHUP
+	// and periodically. If it is nil, they never change.
+	Reload func() (Settings, error)
 
 	Codec Codec
 
@@ -137,6 +138,9 @@
 	limits      *sharedrate.Exchange
 	uplink      *uplink.Monitor
 
+	// seeds are the seeds in force; see peerSeeds.
+	seeds atomic.Pointer[[]netip.AddrPort]
+
 	// callers is set by Run.
 	callers *callerListener
 
@@ -159,6 +163,7 @@
 		metrics:       metrics.NewRegistry(),
 		indirectCalls: make(chan struct{}, maxServedCalls),
 	}
+	n.seeds.Store(&config.PeerSeeds)
 	n.followTables()
 
 	n.relay = newRelay(options{
--- a/router/relay/quarantine.go
+++ b/router/relay/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -55,7 +56,9 @@
 		Members: func(now time.Time) []netip.AddrPort {
 			return withPort(n.broadcaster.Live(now), n.config.QuarantineAddress.Port())
 		},
-		Seeds:     withPort(append([]netip.AddrPort(nil), n.config.PeerSeeds...), n.config.QuarantineAddress.Port()),
+		Seeds: func() []netip.AddrPort {
+			return withPort(slices.Clone(n.peerSeeds()), n.config.QuarantineAddress.Port())
+		},
 		Name:      n.config.PeerAddress.Addr().String(),
 		Store:     n.config.Quarantine,
 		OnVerdict: n.logVerdict,
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -59,7 +59,7 @@
 // registerGauges registers gauges that are computed when read: the version of
 // the plan and its age in milliseconds, both -1 without a plan, for how
 // many milliseconds a newer version has been known to exist, 0 if none is, the age of
-// the list of servers in milliseconds, -1 without one, the time since any server was heard in
+// the list of servers in milliseconds, -1 without one, the number of other routers that are heard, the time since any server was heard in
 // milliseconds, -1 before the first one, the state of the links to the servers, 0 if they
 // are reached, the newest era of the store of the tables, the number of requests in progress, the bytes
 // reserved for their bodies and for responses, the number of log lines that were dropped, of the limits of servers in force, and those of
@@ -77,6 +77,7 @@
 		"log.lost":          n.log.DroppedLines,
 		"limits.known":      n.limits.Count,
 		"brittle.known":     n.limits.BrittleServers,
+		"routers.live":      func() int64 { return int64(len(n.broadcaster.Live(time.Now()))) },
 		"servers.unheard":   n.relay.unheardMilliseconds,
 		"servers.reach":     func() int64 { return int64(n.uplink.State()) },
 		"quarantine.suspects": func() int64 {
