--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -8,7 +8,7 @@
 // one puts on the backend servers. A lost report is replaced by the next one,
 // and a router that sends no more messages is removed. Routers discover each
 // other from a few seeds: each message names some of the routers that its sender
-// knows, and a router that receives a message from an unknown router starts
+// hears, and a router that receives a message from an unknown router starts
 // sending its own reports there.
 //
 // A Directory answers what the load of an engine is now. With many routers,
@@ -18,7 +18,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -37,12 +36,6 @@
 	// With many routers the interval between reports grows.
 	maxSendsPerSecond = 100
 
-	// peerTimeout is how long reports are sent to a router after its last
-	// message, and introducedTimeout how long to a seed or to a router named by
-	// another one from which no message has come.
-	peerTimeout       = 10 * time.Second
-	introducedTimeout = 3 * time.Second
-
 	// liveReports is the number of reports that a router may miss before it
 	// counts as gone, and minLiveTime the least time until then.
 	liveReports = 3
@@ -50,9 +43,6 @@
 
 	// planAgeTimeout is how long the plan age that a router reported is used.
 	planAgeTimeout = 2 * time.Second
-
-	// introducedPeers is the number of other routers that a message names.
-	introducedPeers = 3
 )
 
 // Balancer provides this router's load reports and receives those of others.
@@ -86,6 +76,9 @@
 
 	// ReportError is called with failures. It must not block.
 	ReportError func(error)
+
+	// Listen opens the socket. If it is nil, it is a UDP socket at Address.
+	Listen func(ctx context.Context, address netip.AddrPort) (net.PacketConn, error)
 }
 
 // Proofs holds a proof for each table that all routers follow.
@@ -105,13 +98,17 @@
 	// sent to each address, heard when each router last sent one, and planAges
 	// the plan age that each router last reported. Routers without a plan are
 	// not in planAges. reaches holds what each router last said of its links to the
-	// servers. mostLive is the largest number of other routers that were
+	// servers. seeds are the seeds of the last report, seedsNamedAt when they were named, and
+	// seedsAddedAt when they were last added to the peers. mostLive is the largest number of other routers that were
 	// alive at the same time, and mostLiveSince when it last grew.
 	mu            sync.Mutex
 	peers         map[netip.AddrPort]time.Time
 	heard         map[netip.AddrPort]time.Time
 	planAges      map[netip.AddrPort]planAge
 	reaches       map[netip.AddrPort]peerReach
+	seeds         []netip.AddrPort
+	seedsNamedAt  time.Time
+	seedsAddedAt  time.Time
 	mostLive      int
 	mostLiveSince time.Time
 }
@@ -127,6 +124,9 @@
 	if config.Seeds == nil {
 		config.Seeds = func() []netip.AddrPort { return nil }
 	}
+	if config.Listen == nil {
+		config.Listen = datagram.Listen
+	}
 	return &Broadcaster{
 		config:   config,
 		announce: make(chan struct{}, 1),
@@ -139,7 +139,7 @@
 
 // Run sends and receives reports until the context ends.
 func (b *Broadcaster) Run(ctx context.Context) error {
-	conn, err := datagram.Listen(ctx, b.config.Address)
+	conn, err := b.config.Listen(ctx, b.config.Address)
 	if err != nil {
 		return fmt.Errorf("exchange load reports: %w", err)
 	}
@@ -192,7 +192,7 @@
 func (b *Broadcaster) sendReport(conn net.PacketConn, peers []netip.AddrPort, now time.Time) error {
 	age, hasPlan := b.config.PlanAge()
 	return b.send(conn, peers, message{
-		HasReport: true, Report: b.config.Balancer.LoadReport(now), Peers: samplePeers(peers),
+		HasReport: true, Report: b.config.Balancer.LoadReport(now), Peers: samplePeers(b.Live(now)),
 		PlanAge: age, HasPlan: hasPlan, Proofs: b.config.Proofs(), Reach: b.ownReach(),
 	})
 }
@@ -212,33 +212,6 @@
 	return lastErr
 }
 
-// activePeers drops the peers whose time is over and returns the others
-// including the seeds.
-func (b *Broadcaster) activePeers(now time.Time) []netip.AddrPort {
-	seeds := b.config.Seeds()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for peer, until := range b.peers {
-		if now.After(until) {
-			delete(b.peers, peer)
-			delete(b.planAges, peer)
-			delete(b.heard, peer)
-			delete(b.reaches, peer)
-		}
-	}
-	if live := len(b.live(now)); live > b.mostLive {
-		b.mostLive, b.mostLiveSince = live, now
-	}
-	for _, seed := range seeds {
-		b.addPeer(seed, now.Add(introducedTimeout))
-	}
-	peers := make([]netip.AddrPort, 0, len(b.peers))
-	for peer := range b.peers {
-		peers = append(peers, peer)
-	}
-	return peers
-}
-
 // Live returns the addresses of the other routers that recently sent a report.
 func (b *Broadcaster) Live(now time.Time) []netip.AddrPort {
 	b.mu.Lock()
@@ -304,15 +277,6 @@
 	return peers
 }
 
-// addPeer adds a router that gets reports until a time, or extends its time.
-// The caller holds b.mu.
-func (b *Broadcaster) addPeer(peer netip.AddrPort, until time.Time) {
-	if peer == b.config.Address || !until.After(b.peers[peer]) {
-		return
-	}
-	b.peers[peer] = until
-}
-
 // receive decodes a message, records its sender and the routers that it names,
 // and passes the report to the balancer.
 func (b *Broadcaster) receive(sender netip.AddrPort, data []byte) error {
@@ -340,15 +304,3 @@
 	b.config.Balancer.ApplyReport(now, sender.String(), m.Report)
 	return nil
 }
-
-// samplePeers returns a random sample of the peers.
-func samplePeers(peers []netip.AddrPort) []netip.AddrPort {
-	if len(peers) <= introducedPeers {
-		return peers
-	}
-	sample := make([]netip.AddrPort, 0, introducedPeers)
-	for _, i := range rand.Perm(len(peers))[:introducedPeers] {
-		sample = append(sample, peers[i])
-	}
-	return sample
-}
