--- a/router/internal/loadreport/peers.go
+++ b/router/internal/loadreport/peers.go
@@ -19,6 +19,11 @@
 	seedInterval = time.Second
 	seedReports  = 2
 
+	// introductionTime is the least time for which a router gets reports that this one
+	// introduces itself to, and introductionReports the least number of them.
+	introductionTime    = 300 * time.Millisecond
+	introductionReports = 2
+
 	// introducedPeers is the number of other routers that a message names.
 	introducedPeers = 3
 )
@@ -63,6 +68,17 @@
 	}
 }
 
+// Introduce sends a few reports to routers that may be alive. Those that get one report back.
+func (b *Broadcaster) Introduce(routers []netip.AddrPort) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	length := max(introductionTime, introductionReports*interval(len(b.peers)+len(routers)))
+	for _, router := range routers {
+		b.addPeer(router, now.Add(length))
+	}
+}
+
 // addPeer adds a router that gets reports until a time, or extends its time.
 // The caller holds b.mu.
 func (b *Broadcaster) addPeer(peer netip.AddrPort, until time.Time) {
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -17,6 +17,7 @@
 	"snipetally.example/router/internal/decision"
 	"snipetally.example/router/internal/loadreport"
 	"snipetally.example/router/internal/quarantine"
+	"snipetally.example/router/internal/roster"
 	"snipetally.example/router/internal/sharedrate"
 	"snipetally.example/router/internal/uplink"
 )
@@ -53,6 +54,10 @@
 	QuarantineAddress netip.AddrPort
 	Quarantine        RowStore
 
+	// Routers keeps a list of some routers, in which those find each other that have no seed
+	// that runs. If it is nil, there is none.
+	Routers RowStore
+
 	// LimitAddress is where other routers ask for permits to send requests to servers that
 	// name a limit; if it is not valid, this router keeps to the limits by itself. All
 	// routers use the same port.
@@ -148,6 +153,9 @@
 	// another router.
 	indirectCalls chan struct{}
 
+	// roster is nil if the node has no address for peers or no list of routers.
+	roster *roster.Roster
+
 	// directory is nil if the node has no address for it.
 	directory *loadreport.Directory
 }
@@ -189,6 +197,9 @@
 	n.useQuarantine()
 	n.useLimits()
 	n.useUplink()
+	if config.PeerAddress.IsValid() && config.Routers != nil {
+		n.useRoster()
+	}
 	if config.PeerAddress.IsValid() && config.DirectoryAddress.IsValid() {
 		n.useDirectory()
 	}
@@ -219,6 +230,9 @@
 	if n.config.PeerAddress.IsValid() {
 		group.Add(func() error { return n.broadcaster.Run(ctx) }, func(error) { cancel() })
 	}
+	if n.roster != nil {
+		group.Add(func() error { return n.roster.Run(ctx) }, func(error) { cancel() })
+	}
 	if n.config.QuarantineAddress.IsValid() {
 		group.Add(func() error { return n.quarantine.Run(ctx) }, func(error) { cancel() })
 	}
