--- a/router/internal/loadreport/meeting_test.go
+++ b/router/internal/loadreport/meeting_test.go
@@ -59,7 +59,7 @@
 					broadcasters = append(broadcasters, b)
 					list := roster.New(roster.Config{
 						Address: routerAddress(i), Store: store, Live: b.Live, Introduce: b.Introduce,
-						OnListed: func(netip.AddrPort) {}, ReportError: func(error) {},
+						OnReadAgain: func() {}, OnListed: func(netip.AddrPort) {}, ReportError: func(error) {},
 					})
 					go func() { _ = b.Run(ctx) }()
 					go func() { _ = list.Run(ctx) }()
--- a/router/internal/quarantine/exchange.go
+++ b/router/internal/quarantine/exchange.go
@@ -77,6 +77,9 @@
 	// synced says that the verdicts of the store or of another router were received.
 	synced atomic.Bool
 
+	// rereadDue says that the verdicts of the store are to be read again.
+	rereadDue atomic.Bool
+
 	// socket is open while Run runs.
 	socket *datagram.Socket
 
--- a/router/internal/quarantine/exchange_test.go
+++ b/router/internal/quarantine/exchange_test.go
@@ -100,6 +100,9 @@
 	t         *testing.T
 	store     *fakeStore
 	addresses []netip.AddrPort
+
+	// apart says that routers don't hear each other.
+	apart bool
 }
 
 // newExchangeFleet returns a fleet of which no exchange runs yet.
@@ -123,7 +126,7 @@
 		Members: func(time.Time) []netip.AddrPort {
 			var others []netip.AddrPort
 			for j, address := range f.addresses {
-				if j != i {
+				if j != i && !f.apart {
 					others = append(others, address)
 				}
 			}
@@ -206,6 +209,29 @@
 	g.Expect(refuses(second)()).To(gomega.BeTrue())
 }
 
+// Guards against a router that learns verdicts, and their end, from the store at its start
+// only, while it doesn't hear those that save them.
+func TestVerdictsInTheStoreAreReadAgain(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	f := newExchangeFleet(t, 2)
+	f.apart = true
+	first, _ := f.start(0)
+	second, _ := f.start(1)
+	g.Eventually(func() bool { return first.Synced() && second.Synced() }, shareTime).Should(gomega.BeTrue())
+	crashAt(first)
+	g.Eventually(f.store.count, shareTime).Should(gomega.Equal(1))
+	g.Expect(refuses(second)()).To(gomega.BeFalse())
+	second.ReadAgain()
+	g.Eventually(refuses(second), shareTime).Should(gomega.BeTrue())
+
+	g.Expect(first.Lift(quarantine.Key{Part: bad})).To(gomega.HaveLen(1))
+	g.Eventually(func() bool {
+		second.ReadAgain()
+		return refuses(second)()
+	}, shareTime).Should(gomega.BeFalse())
+}
+
 // Guards against verdicts that are lost with a store that comes back from an older copy, when
 // all routers start again later.
 func TestVerdictsOutlastAStoreThatComesBackFromAnOlderCopy(t *testing.T) {
--- a/router/internal/quarantine/store.go
+++ b/router/internal/quarantine/store.go
@@ -34,6 +34,10 @@
 	Era() int64
 }
 
+// ReadAgain has the verdicts of the store read again soon, as routers that this one doesn't
+// hear may have saved some. It does not block.
+func (e *Exchange) ReadAgain() { e.rereadDue.Store(true) }
+
 // storeLoop reads the verdicts of the store, and then saves new ones and removes old
 // ones, until the context ends.
 func (e *Exchange) storeLoop(ctx context.Context) error {
@@ -48,6 +52,9 @@
 			savedEra = e.config.Store.Era() // Before the read, which a new era may overtake.
 			loaded = e.load(ctx)
 		}
+		if loaded && e.rereadDue.Swap(false) {
+			e.load(ctx)
+		}
 		if loaded {
 			e.save(ctx, now)
 		}
--- a/router/internal/roster/fleet_test.go
+++ b/router/internal/roster/fleet_test.go
@@ -124,6 +124,7 @@
 		Store:       f.store,
 		Live:        func(time.Time) []netip.AddrPort { return f.heardBy(own) },
 		Introduce:   func(routers []netip.AddrPort) { f.introduce(own, routers) },
+		OnReadAgain: func() {},
 		OnListed:    func(netip.AddrPort) {},
 		ReportError: func(error) {},
 	})
--- a/router/internal/roster/roster.go
+++ b/router/internal/roster/roster.go
@@ -66,6 +66,9 @@
 	// that lets them report to this one, and must not block.
 	Introduce func(routers []netip.AddrPort)
 
+	// OnReadAgain is told when the list was read, but for the first time. It must not block.
+	OnReadAgain func()
+
 	// OnListed is told when this router has added itself to the list, and which other one it
 	// replaced, if any.
 	OnListed func(replaced netip.AddrPort)
@@ -86,7 +89,7 @@
 	waited    float64
 	readAfter float64
 
-	// hasRead says that the first read was due already.
+	// hasRead says that the list was read.
 	hasRead bool
 }
 
@@ -119,9 +122,10 @@
 	if r.waited < r.readAfter {
 		return false
 	}
+	first := r.readAfter == 0
 	r.waited, r.readAfter = 0, 0.5+rand.Float64()
-	if !r.hasRead {
-		r.hasRead, r.readAfter = true, rand.Float64() // Others have started at the same time.
+	if first {
+		r.readAfter = rand.Float64() // Others have started at the same time.
 	}
 	return true
 }
@@ -159,6 +163,10 @@
 		r.config.ReportError(fmt.Errorf("read list of routers: %w", err))
 		return
 	}
+	if r.hasRead {
+		r.config.OnReadAgain()
+	}
+	r.hasRead = true
 	before := r.listed
 	r.listed = r.decode(rows)
 	live := r.config.Live(time.Now())
--- a/router/relay/roster.go
+++ b/router/relay/roster.go
@@ -15,6 +15,9 @@
 		Live:      n.broadcaster.Live,
 		Introduce: n.introduce,
 		OnListed:  n.logListed,
+
+		// Routers that this one doesn't hear may have saved verdicts, too.
+		OnReadAgain: n.quarantine.ReadAgain,
 		ReportError: func(err error) {
 			n.log.RepeatedFailure(time.Now(), "roster", err).Msg("list of routers not usable")
 		},
