--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +17,7 @@
 	"snipetally.example/router/internal/decision"
 	"snipetally.example/router/internal/loadreport"
 	"snipetally.example/router/internal/quarantine"
+	"snipetally.example/router/internal/roster"
 	"snipetally.example/router/internal/sharedrate"
 	"snipetally.example/router/internal/uplink"
 )
@@ -52,6 +54,10 @@
 	QuarantineAddress netip.AddrPort
 	Quarantine        RowStore
 
+	// Routers keeps a list of some routers, in which those find each other that have no seed
+	// that runs. If it is nil, there is none.
+	Routers RowStore
+
 	// LimitAddress is where other routers ask for permits to send requests to servers that
 	// name a limit; if it is not valid, this router keeps to the limits by itself. All
 	// routers use the same port.
@@ -76,9 +82,9 @@
 	// zero if it is not known.
 	Heartbeat time.Duration
 
-	// Reload reads the bounds from the settings again. It is called on SIGHUP
-	// and periodically. If it is nil, the bounds never change.
-	Reload func() (Bounds, error)
+	// Reload reads the settings that may change again. It is called on SIGHUP
+	// and periodically. If it is nil, they never change.
+	Reload func() (Settings, error)
 
 	Codec Codec
 
@@ -137,6 +143,9 @@
 	limits      *sharedrate.Exchange
 	uplink      *uplink.Monitor
 
+	// seeds are the seeds in force; see peerSeeds.
+	seeds atomic.Pointer[[]netip.AddrPort]
+
 	// callers and handovers are the listeners for callers and for routers that hand over requests.
 	// They are set by Run; handovers is nil if requests are not taken.
 	callers   *callerListener
@@ -146,6 +155,9 @@
 	// another router.
 	indirectCalls chan struct{}
 
+	// roster is nil if the node has no address for peers or no list of routers.
+	roster *roster.Roster
+
 	// directory is nil if the node has no address for it.
 	directory *loadreport.Directory
 }
@@ -161,6 +173,7 @@
 		metrics:       metrics.NewRegistry(),
 		indirectCalls: make(chan struct{}, maxServedCalls),
 	}
+	n.seeds.Store(&config.PeerSeeds)
 	n.followTables()
 
 	n.relay = newRelay(options{
@@ -187,6 +200,9 @@
 	n.useQuarantine()
 	n.useLimits()
 	n.useUplink()
+	if config.PeerAddress.IsValid() && config.Routers != nil {
+		n.useRoster()
+	}
 	if config.PeerAddress.IsValid() && config.DirectoryAddress.IsValid() {
 		n.useDirectory()
 	}
@@ -217,6 +233,9 @@
 	if n.config.PeerAddress.IsValid() {
 		group.Add(func() error { return n.broadcaster.Run(ctx) }, func(error) { cancel() })
 	}
+	if n.roster != nil {
+		group.Add(func() error { return n.roster.Run(ctx) }, func(error) { cancel() })
+	}
 	if n.config.QuarantineAddress.IsValid() {
 		group.Add(func() error { return n.quarantine.Run(ctx) }, func(error) { cancel() })
 	}
