--- a/router/relay/lost_plan.go
+++ b/router/relay/lost_plan.go
@@ -138,9 +138,9 @@
 }
 
 // mayMissRevocations reports whether a router that started a moment ago can't yet know
-// whether the store has lost a plan that revokes keys.
+// whether the store has lost a plan that revokes keys. A store in its first era has lost none.
 func (r *relay) mayMissRevocations() bool {
-	if !r.options.listensForPlans || r.bounds.Load().MaxRevocationDelay == 0 {
+	if !r.options.listensForPlans || r.bounds.Load().MaxRevocationDelay == 0 || r.options.storeEra() == 0 {
 		return false
 	}
 	own, ok := r.planInUse()
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -176,6 +176,7 @@
 		planUnreachableFor: n.plans.OutageDuration,
 		planMissingFor:     n.plans.MissingFor,
 		listensForPlans:    len(otherSeeds(config)) > 0,
+		storeEra:           config.Eras.Newest,
 		routers:            func() (int, time.Time) { return n.broadcaster.MostRouters() },
 		peerHasFresherPlan: func(bound time.Duration) bool { return n.broadcaster.AnyFresherPlan(bound) },
 		log:                n.log,
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -68,6 +68,9 @@
 	// listensForPlans says that there are other routers that tell which plan they have.
 	listensForPlans bool
 
+	// storeEra returns the newest era of the store of the tables.
+	storeEra func() int64
+
 	// routers counts the routers that were heard.
 	routers retrybudget.RouterCount
 
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -106,8 +106,8 @@
 
 // planVersion returns the version of the plan in force, or -1 without one.
 func (r *relay) planVersion() int64 {
-	if index := r.index.Load(); index != nil {
-		return index.plan.Version
+	if version := r.planInForce(); version > 0 {
+		return version
 	}
 	return -1
 }
