--- a/coordination/feed/era.go
+++ b/coordination/feed/era.go
@@ -91,7 +91,7 @@
 // the copy that the store came back from, and will be written again.
 func (f *Follower[T]) beginEra(now time.Duration, response Response[T]) (restored bool) {
 	if _, loaded := f.AsOf(); loaded && response.Era != f.copy.era {
-		f.copy.beginGrace(now, f.config.LapseGrace)
+		f.beginGrace(now)
 		restored = true
 	}
 	f.copy.era = response.Era
--- a/coordination/feed/follower.go
+++ b/coordination/feed/follower.go
@@ -75,6 +75,10 @@
 	mu          sync.Mutex
 	evidence    evidence
 	outageStart time.Duration
+
+	// keptAsOf is the time up to which the copy was proved to be current when the grace period began
+	// in which disappeared rows are kept, or zero if there is none.
+	keptAsOf time.Duration
 }
 
 // NewFollower returns a follower with an empty copy.
@@ -102,6 +106,17 @@
 	return f.evidence.asOf, f.evidence.loaded
 }
 
+// RemovalsAsOf returns the time up to which no row is proved to have disappeared that the copy had
+// when it was last applied. It is before AsOf while disappeared rows may be kept.
+func (f *Follower[T]) RemovalsAsOf() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.keptAsOf > 0 {
+		return f.keptAsOf, true
+	}
+	return f.evidence.asOf, f.evidence.loaded
+}
+
 // OutageDuration returns for how long the current outage has lasted, or zero if
 // there is none.
 func (f *Follower[T]) OutageDuration() time.Duration {
@@ -166,6 +181,7 @@
 		if f.copy.removeExpired(now) {
 			f.config.Apply(f.copy.snapshot(), f.copy.era)
 		}
+		f.endGrace(now)
 	}
 	return fmt.Errorf("follow table: %w", ctx.Err())
 }
--- a/coordination/feed/outcome.go
+++ b/coordination/feed/outcome.go
@@ -206,10 +206,30 @@
 // not known to be current for so long that rows can have lapsed.
 func (f *Follower[T]) beginGraceIfLapsed(now time.Duration) {
 	if f.age(now) >= f.config.LapseTime {
-		f.copy.beginGrace(now, f.config.LapseGrace)
+		f.beginGrace(now)
 	}
 }
 
+// beginGrace keeps rows that disappear soon for a while.
+func (f *Follower[T]) beginGrace(now time.Duration) {
+	f.copy.beginGrace(now, f.config.LapseGrace)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.keptAsOf == 0 {
+		f.keptAsOf = f.evidence.asOf
+	}
+}
+
+// endGrace records that no disappeared row is kept any more, once that is so.
+func (f *Follower[T]) endGrace(now time.Duration) {
+	if now < f.copy.graceEnd || len(f.copy.removeAt) > 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keptAsOf = 0
+}
+
 // reportUnusable reports a row that can't be used.
 func (f *Follower[T]) reportUnusable(c Change[T]) {
 	f.config.OnEvent(Event{Key: c.Key, Err: c.Err})
--- a/router/relay/migration_return.go
+++ b/router/relay/migration_return.go
@@ -29,10 +29,10 @@
 	return &backendServer{Server: b.Server, pool: hop.NewPool(b.Address), usage: b.usage}
 }
 
-// recordLeaving records that a server leaves. It began to at the earliest when the list of servers was
-// last known to be current.
-func (r *relay) recordLeaving(b *backendServer) {
-	since := r.options.clock() - max(r.serversAge(), 0)
+// recordLeaving records that a server leaves. It began to at the earliest at the time on the clock up
+// to which it is known not to have.
+func (r *relay) recordLeaving(b *backendServer, knownUntil func() (time.Duration, bool)) {
+	since, _ := knownUntil()
 	b.usage.leavingSince.CompareAndSwap(0, max(int64(since), longAgo))
 }
 
--- a/router/relay/node.go
+++ b/router/relay/node.go
@@ -173,6 +173,7 @@
 		maxResponseMemory:  int64(responseMemoryFraction * float64(config.MemoryBytes)),
 		planAsOf:           n.plans.AsOf,
 		serversAsOf:        n.servers.AsOf,
+		removalsAsOf:       n.servers.RemovalsAsOf,
 		planUnreachableFor: n.plans.OutageDuration,
 		planMissingFor:     n.plans.MissingFor,
 		routers:            func() (int, time.Time) { return n.broadcaster.MostRouters() },
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -53,6 +53,10 @@
 	// serversAsOf returns the same for the list of servers.
 	serversAsOf func() (time.Duration, bool)
 
+	// removalsAsOf returns the time on the clock up to which no server is known to have disappeared
+	// from the table that the list had until now.
+	removalsAsOf func() (time.Duration, bool)
+
 	// planUnreachableFor returns for how long the plan has been unreachable, or
 	// zero.
 	planUnreachableFor func() time.Duration
--- a/router/relay/servers.go
+++ b/router/relay/servers.go
@@ -129,12 +129,12 @@
 		}
 		_, corrected := outdated[id]
 		next[id] = &backendServer{Server: s, pool: b.pool, entryDraining: s.Draining && !corrected, usage: b.usage}
-		r.handleServerUpdate(old[id], next[id])
+		r.handleServerUpdate(old[id], next[id], r.options.serversAsOf)
 	}
 	for id, b := range old {
 		if kept, ok := next[id]; !ok || kept.pool != b.pool {
 			b.pool.Close()
-			r.recordLeaving(b)
+			r.recordLeaving(b, r.options.removalsAsOf)
 			r.migrateStreams(b)
 			r.logLeaving(b).Msg("backend server removed")
 		}
@@ -205,15 +205,15 @@
 // handleServerUpdate logs that a server is new or began to drain, and in the
 // latter case starts to migrate its streams. The key leaving says whether a new
 // server is draining. A draining server accepts requests again only in another
-// lifetime with the same ID.
-func (r *relay) handleServerUpdate(old, s *backendServer) {
+// lifetime with the same ID. knownUntil is as for recordLeaving.
+func (r *relay) handleServerUpdate(old, s *backendServer, knownUntil func() (time.Duration, bool)) {
 	switch {
 	case old == nil:
 		r.options.log.StateChange().Str("server", s.ID).Str("service", s.Service).Str("address", s.Address).
 			Bool("leaving", s.Draining).Msg("backend server added")
 	case s.Draining && !old.Draining:
 		r.logLeaving(old).Msg("backend server draining")
-		r.recordLeaving(s)
+		r.recordLeaving(s, knownUntil)
 		r.migrateStreams(s)
 	case !s.Draining && old.Draining:
 		s.usage.leavingSince.Store(0)
--- a/router/relay/statements.go
+++ b/router/relay/statements.go
@@ -72,7 +72,7 @@
 		}
 		marked := *s
 		marked.Draining = true
-		r.handleServerUpdate(s, &marked)
+		r.handleServerUpdate(s, &marked, r.options.removalsAsOf) // Its entry may be gone, and be kept for a while.
 		next[id] = &marked
 	}
 	r.servers.Store(&next)
--- a/router/relay/stopped_run_bounds_test.go
+++ b/router/relay/stopped_run_bounds_test.go
@@ -124,3 +124,33 @@
 	g.Expect(end.err).NotTo(gomega.HaveOccurred())
 	g.Expect(end.body).To(gomega.Equal(fourEvents))
 }
+
+// Guards against requests that reach a leaving server late: its entry disappeared in an outage of the
+// table and was kept for a while after it, in case that it had only lapsed.
+func TestStoppedRunDoesNotReturnLateToAServerThatWasKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	setUnavailable := func(unavailable bool) {
+		n.plans.setUnavailable(unavailable)
+		n.servers.setUnavailable(unavailable)
+	}
+	n.start(t, newClass("a", relay.Stream, 1), func(c *relay.Config) {
+		c.Bounds.DrainTimeout = stoppedRunDrain
+		c.Heartbeat = 50 * time.Millisecond
+		c.Migrator = scriptedMigrator{copyRun: noError, migrate: func(_ context.Context, request relay.MigrationRequest) (relay.KVCopy, error) {
+			close(n.stopped)
+			return relay.KVCopy{Source: request.Source, Handle: "h1"}, errNoRoom
+		}}
+	}, 2)
+	n.startStream(t)
+	setUnavailable(true)
+	n.waitUntil(t, n.logged("table lost", 2))
+	n.remove(n.address(n.source))
+	left := time.Now()
+	time.Sleep(stoppedRunDrain / 8) // So long that the entry can have lapsed.
+	setUnavailable(false)
+	end := <-n.end
+	g.Expect(time.Since(left)).To(gomega.BeNumerically(">", stoppedRunDrain), "it was kept")
+	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
+	g.Expect(n.sourceArrivals()).To(gomega.Equal(1))
+}
