--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -106,7 +106,7 @@
 // to or stopped at may have left the list, and then has a pool of its own.
 func (p *proxiedRequest) target(at *place) (*backendServer, bool) {
 	target, ok := (*p.relay.servers.Load())[at.choice.Server]
-	at.reopened = at.server != nil && (!ok || target.usage != at.server.usage)
+	at.reopened = at.server != nil && (!ok || !target.replaces(at.server))
 	if at.reopened {
 		return at.server.reopened(), true
 	}
--- a/router/relay/migration_return.go
+++ b/router/relay/migration_return.go
@@ -29,6 +29,12 @@
 	return &backendServer{Server: b.Server, pool: hop.NewPool(b.Address), usage: b.usage}
 }
 
+// replaces reports whether a listed server is one that was listed before, or accepts requests in the same
+// lifetime, as its entry was gone for a moment only.
+func (b *backendServer) replaces(before *backendServer) bool {
+	return b.usage == before.usage || !b.Draining && b.sameLifetime(before.Server)
+}
+
 // recordLeaving records that a server leaves. It began to at the earliest at the time on the clock up
 // to which it is known not to have.
 func (r *relay) recordLeaving(b *backendServer, knownUntil func() (time.Duration, bool)) {
--- a/router/relay/stopped_run_bounds_test.go
+++ b/router/relay/stopped_run_bounds_test.go
@@ -154,3 +154,21 @@
 	g.Expect(end.err).To(gomega.HaveOccurred(), "the stream ends as incomplete")
 	g.Expect(n.sourceArrivals()).To(gomega.Equal(1))
 }
+
+// Guards against streams that are cut because the entry of their destination was gone for a moment, after
+// their run had been stopped: the server accepts requests.
+func TestStoppedRunGoesOnAtADestinationThatIsListedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newMigrationNode()
+	startStoppedRunNode(t, n, hookedMigrator{stopped: func(request relay.MigrationRequest) {
+		n.remove(request.Destination)
+		n.waitUntil(t, n.logged("backend server removed", 1))
+		n.drain(func(id string) bool { return id == n.source })
+		n.waitUntil(t, n.accepting(t, 1))
+		time.Sleep(stoppedRunDrain)
+		close(n.stopped)
+	}}, 2)
+	end := <-n.end
+	g.Expect(end.err).NotTo(gomega.HaveOccurred())
+	g.Expect(end.body).To(gomega.Equal(fourEvents))
+}
