--- a/coordination/seeds/seeds.go
+++ b/coordination/seeds/seeds.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"os"
+	"strconv"
 )
 
 const (
@@ -28,6 +29,15 @@
 	setFlag("rapid.nofailfile", "true")
 }
 
+// Number returns the seed for tests that draw random numbers without the rapid library.
+func Number() uint64 {
+	seed, err := strconv.ParseUint(envOr(SeedVariable, defaultSeed), 10, 64)
+	if err != nil {
+		panic("seeds: " + err.Error())
+	}
+	return seed
+}
+
 // envOr returns the value of an environment variable, or fallback if it is
 // empty or not set.
 func envOr(variable, fallback string) string {
--- a/router/internal/uplink/fleet_test.go
+++ b/router/internal/uplink/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,11 @@
 	requestTimeout = 2 * time.Second
 	freshShare     = 0.3
 
+	// sourcesPerRouter is the number of sources of random numbers of a router, and maxStartDelay
+	// the time in which monitors start, so that routers don't look at their links all at once.
+	sourcesPerRouter = 3
+	maxStartDelay    = 100 * time.Millisecond
+
 	errBroken = errors.ConstError("connection broken")
 )
 
@@ -46,22 +52,25 @@
 	stop    context.CancelFunc
 	running sync.WaitGroup
 
-	// mu guards random and the fields below. paused is until when all servers stand still.
-	mu     sync.Mutex
-	random *rand.Rand
-	paused time.Time
-
-	// stagger is the time between the ends of the pauses of two servers.
+	// mu guards the fields below. paused is until when all servers stand still, and stagger the
+	// time between the ends of the pauses of two servers.
+	mu      sync.Mutex
+	paused  time.Time
 	stagger time.Duration
 }
 
-// router is a router of a fleet.
+// router is a router of a fleet. It has random numbers of its own for each of its goroutines, as
+// the order in which goroutines run at one moment is not fixed.
 type router struct {
 	fleet    *fleet
 	number   int
 	contacts *uplink.Contacts
 	monitor  *uplink.Monitor
 
+	traffic *rand.Rand
+	probes  *rand.Rand
+	reports *rand.Rand
+
 	// mu guards the fields below. unreachable is the number of servers that the links, while
 	// they are not up, are about; these are the first ones. reported is when the router last
 	// heard a server, as it told the others at reportedAt. changes are its changes of state.
@@ -77,18 +86,23 @@
 // newFleet starts routers, each of which gets a number of requests a second.
 func newFleet(t *testing.T, seed uint64, routers int, rate float64) *fleet {
 	t.Helper()
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 3))}
+	f := &fleet{}
 	f.done, f.stop = context.WithCancel(t.Context())
 	for i := range routers {
-		r := &router{fleet: f, number: i, contacts: uplink.NewContacts(time.Now())}
+		source := func(use uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, uint64(i)*sourcesPerRouter+use)) }
+		r := &router{
+			fleet: f, number: i, contacts: uplink.NewContacts(time.Now()),
+			traffic: source(0), probes: source(1), reports: source(2),
+		}
 		r.monitor = uplink.NewMonitor(time.Now(), uplink.Config{
 			Contacts: r.contacts, Servers: serverNames, Probe: r.probe, PeerHeardAfter: r.peerHeardAfter,
-			Shuffle: f.shuffle, OnChange: r.recordChange,
+			Shuffle: r.shuffle, OnChange: r.recordChange,
 		})
 		f.routers = append(f.routers, r)
 	}
 	for _, r := range f.routers {
-		f.running.Go(func() { _ = r.monitor.Run(f.done) })
+		delay := time.Duration(r.traffic.Float64() * float64(maxStartDelay))
+		f.running.Go(func() { r.watch(delay) })
 		f.running.Go(r.report)
 		f.running.Go(func() { r.send(rate) })
 	}
@@ -111,24 +125,24 @@
 }
 
 // shuffle puts names in a random order.
-func (f *fleet) shuffle(names []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+func (r *router) shuffle(names []string) {
+	r.probes.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 }
 
-// float returns a random number from 0 to 1.
-func (f *fleet) float() float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.Float64()
+// watch runs the monitor after a delay.
+func (r *router) watch(delay time.Duration) {
+	select {
+	case <-time.After(delay):
+		_ = r.monitor.Run(r.fleet.done)
+	case <-r.fleet.done.Done():
+	}
 }
 
-// pause lets all servers stand still for a time.
-func (f *fleet) pause(length time.Duration) {
+// pause lets all servers stand still for a time, after which they go on one after the other.
+func (f *fleet) pause(length, stagger time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.paused = time.Now().Add(length)
+	f.paused, f.stagger = time.Now().Add(length), stagger
 }
 
 // pausedUntil returns until when a server stands still.
@@ -158,7 +172,7 @@
 // exchange makes an exchange with a server.
 func (r *router) exchange(ctx context.Context, server int, fresh bool) error {
 	select {
-	case <-time.After(serveTime + time.Until(r.fleet.pausedUntil(server))):
+	case <-time.After(serveTime + max(0, time.Until(r.fleet.pausedUntil(server)))):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -184,23 +198,22 @@
 // send sends requests at random times.
 func (r *router) send(rate float64) {
 	for {
-		pause := time.Duration(-2 * r.fleet.float() / rate * float64(-time.Second))
+		pause := time.Duration(2 * r.traffic.Float64() / rate * float64(time.Second))
 		select {
 		case <-time.After(pause):
 		case <-r.fleet.done.Done():
 			return
 		}
-		r.fleet.running.Go(r.sendOne)
+		server, fresh := r.traffic.IntN(serverCount), r.traffic.Float64() < freshShare
+		r.fleet.running.Go(func() { r.sendOne(server, fresh) })
 	}
 }
 
-// sendOne sends a request to a random server, unless the router is cut off.
-func (r *router) sendOne() {
+// sendOne sends a request to a server, unless the router is cut off.
+func (r *router) sendOne(server int, fresh bool) {
 	if r.monitor.State() == uplink.CutOff {
 		return
 	}
-	server := int(r.fleet.float() * serverCount)
-	fresh := r.fleet.float() < freshShare
 	ctx, cancel := context.WithTimeout(r.fleet.done, requestTimeout)
 	defer cancel()
 	x := r.contacts.Begin(time.Now(), fmt.Sprint(server), 2*serveTime)
@@ -225,7 +238,7 @@
 // report tells the others from time to time when the router heard a server.
 func (r *router) report() {
 	interval := r.fleet.reportInterval()
-	wait := time.Duration(r.fleet.float() * float64(interval))
+	wait := time.Duration(r.reports.Float64() * float64(interval))
 	for {
 		select {
 		case <-time.After(wait):
@@ -264,6 +277,13 @@
 	r.changedAt = append(r.changedAt, time.Now())
 }
 
+// history returns the changes of state and their times.
+func (r *router) history() ([]uplink.Change, []time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.changes), slices.Clone(r.changedAt)
+}
+
 // timeIn returns how long the router was in a state in a span that ends now.
 func (r *router) timeIn(state uplink.State, from time.Time) time.Duration {
 	r.mu.Lock()
--- a/router/internal/uplink/monitor.go
+++ b/router/internal/uplink/monitor.go
@@ -33,8 +33,10 @@
 func (s State) String() string { return stateNames[s] }
 
 const (
-	// tickInterval is the interval at which the contacts are looked at.
-	tickInterval = 100 * time.Millisecond
+	// tickInterval is the interval at which the contacts are looked at, and doubtTickInterval that
+	// while servers are not known to be reached: each step of the verdict waits for the next look.
+	tickInterval      = 50 * time.Millisecond
+	doubtTickInterval = 20 * time.Millisecond
 
 	// doubtInterval is the time between two rounds of probes while there is doubt, and
 	// probeInterval that while it is known that no server answers. probeCount is the number of
@@ -60,11 +62,11 @@
 
 	// maxTickGap is the time between two ticks above which the router itself stood still, so
 	// that nothing could be heard.
-	maxTickGap = 3 * tickInterval
+	maxTickGap = 300 * time.Millisecond
 
 	// lateTickGap is the time since the last tick above which the router is short of processor
 	// time.
-	lateTickGap = 2 * tickInterval
+	lateTickGap = tickInterval + 100*time.Millisecond
 )
 
 // Change is a change of the state.
@@ -143,9 +145,14 @@
 
 // Run watches the links until the context ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	interval := tickInterval
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
+		if next := m.lookInterval(); next != interval {
+			interval = next
+			ticker.Reset(interval)
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("watch links to servers: %w", ctx.Err())
@@ -157,6 +164,14 @@
 	}
 }
 
+// lookInterval returns the interval at which the contacts are looked at in the present state.
+func (m *Monitor) lookInterval() time.Duration {
+	if m.State() == Reached {
+		return tickInterval
+	}
+	return doubtTickInterval
+}
+
 // State returns the state.
 func (m *Monitor) State() State {
 	m.mu.Lock()
--- a/router/internal/uplink/monitor_test.go
+++ b/router/internal/uplink/monitor_test.go
@@ -22,6 +22,9 @@
 
 	// usualRate is the number of requests a second of a router.
 	usualRate = 10
+
+	// routersPerCase is the number of routers of a case, in one fleet or several.
+	routersPerCase = 240
 )
 
 // Guards against routers that do not learn that they, and not the servers, are cut off, or learn
@@ -31,56 +34,70 @@
 	for _, routers := range []int{3, 8, 80, 400} {
 		for name, state := range states {
 			t.Run(fmt.Sprintf("%d routers %s", routers, name), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					g := gomega.NewWithT(t)
-					f := newFleet(t, 1, routers, usualRate)
-					defer f.close()
-					time.Sleep(5 * time.Second)
-					cut := f.routers[:2*routers/3]
-					for _, r := range cut {
-						r.setLinks(state, serverCount)
-					}
-					late := known
-					if state == linkRefuses { // It shows with the next new connections only.
-						late = 4 * known
-					}
-					time.Sleep(late)
-					for _, r := range cut {
-						g.Expect(r.monitor.State()).To(gomega.Equal(uplink.CutOff))
-					}
-					time.Sleep(5 * time.Second)
-					for _, r := range cut {
-						r.setLinks(linkUp, 0)
-					}
-					time.Sleep(known)
-					for _, r := range f.routers {
-						g.Expect(r.monitor.State()).To(gomega.Equal(uplink.Reached))
-					}
-					for _, r := range f.routers[len(cut):] {
-						g.Expect(r.timeIn(uplink.CutOff, time.Time{})).To(gomega.BeZero())
-					}
-				})
+				for i := range uint64(max(1, routersPerCase/routers)) {
+					seed := seeds.Number() + i
+					synctest.Test(t, func(t *testing.T) { checkCut(t, newFleet(t, seed, routers, usualRate), state) })
+				}
 			})
 		}
 	}
 }
 
+// checkCut cuts two thirds of the routers off from all servers for some seconds.
+func checkCut(t *testing.T, f *fleet, state linkState) {
+	g := gomega.NewWithT(t)
+	defer f.close()
+	time.Sleep(5 * time.Second)
+	cut, cutAt := f.routers[:2*len(f.routers)/3], time.Now()
+	for _, r := range cut {
+		r.setLinks(state, serverCount)
+	}
+	time.Sleep(9 * time.Second)
+	for _, r := range cut {
+		changes, changedAt := r.history()
+		g.Expect(changes).To(gomega.HaveLen(1), "router %d", r.number)
+		g.Expect(changes[0].State).To(gomega.Equal(uplink.CutOff), "router %d", r.number)
+		g.Expect(r.monitor.State()).To(gomega.Equal(uplink.CutOff), "router %d", r.number)
+		g.Expect(changedAt[0].Sub(cutAt)).To(gomega.BeNumerically("<=", knownBy(state)), "router %d", r.number)
+	}
+	for _, r := range cut {
+		r.setLinks(linkUp, 0)
+	}
+	time.Sleep(known)
+	synctest.Wait()
+	for _, r := range f.routers {
+		g.Expect(r.monitor.State()).To(gomega.Equal(uplink.Reached), "router %d", r.number)
+	}
+	for _, r := range f.routers[len(cut):] {
+		g.Expect(r.timeIn(uplink.CutOff, time.Time{})).To(gomega.BeZero(), "router %d", r.number)
+	}
+}
+
+// knownBy returns the time after a cut in which a router has to know of it. One that refuses new
+// connections only shows with the next ones.
+func knownBy(state linkState) time.Duration {
+	if state == linkRefuses {
+		return 4 * known
+	}
+	return known
+}
+
 // Guards against servers that all stand still for a moment and are taken for a cut.
 func TestPauseOfAllServersIsNoCut(t *testing.T) {
 	for _, routers := range []int{1, 3, 8, 80} {
 		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				f := newFleet(t, 1, routers, usualRate)
-				f.stagger = 20 * time.Millisecond
+				f := newFleet(t, seeds.Number(), routers, usualRate)
 				defer f.close()
 				for range 5 {
 					time.Sleep(4 * time.Second)
-					f.pause(1500 * time.Millisecond)
+					f.pause(1500*time.Millisecond, 20*time.Millisecond)
 				}
 				time.Sleep(4 * time.Second)
 				for _, r := range f.routers {
-					g.Expect(r.changes).To(gomega.BeEmpty())
+					changes, _ := r.history()
+					g.Expect(changes).To(gomega.BeEmpty())
 				}
 			})
 		})
@@ -92,7 +109,7 @@
 func TestRoutersThatHearServersAgainOneAfterTheOtherAreNotCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		f := newFleet(t, 1, 6, usualRate)
+		f := newFleet(t, seeds.Number(), 6, usualRate)
 		defer f.close()
 		for range 20 {
 			time.Sleep(3 * time.Second)
@@ -107,7 +124,8 @@
 		}
 		time.Sleep(3 * time.Second)
 		for _, r := range f.routers {
-			g.Expect(r.changes).To(gomega.BeEmpty())
+			changes, _ := r.history()
+			g.Expect(changes).To(gomega.BeEmpty())
 		}
 	})
 }
@@ -117,7 +135,7 @@
 func TestRoutersThatAreAllCutOffSaySo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		f := newFleet(t, 1, 6, usualRate)
+		f := newFleet(t, seeds.Number(), 6, usualRate)
 		defer f.close()
 		time.Sleep(5 * time.Second)
 		for _, r := range f.routers {
@@ -139,7 +157,7 @@
 func TestRouterWithoutProcessorTimeIsBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		f := newFleet(t, 1, 1, usualRate)
+		f := newFleet(t, seeds.Number(), 1, usualRate)
 		time.Sleep(5 * time.Second)
 		g.Expect(f.routers[0].monitor.Behind(time.Now())).To(gomega.BeFalse())
 		f.close()
@@ -153,7 +171,7 @@
 	for name, state := range map[string]linkState{"hang": linkHangs, "reset": linkResets, "refuse": linkRefuses} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t, 1, 6, usualRate)
+				f := newFleet(t, seeds.Number(), 6, usualRate)
 				defer f.close()
 				time.Sleep(5 * time.Second)
 				cut := time.Now()
@@ -197,7 +215,7 @@
 			time.Sleep(3 * time.Second)
 			for i, c := range history {
 				if i < pauses {
-					f.pause(1500 * time.Millisecond)
+					f.pause(1500*time.Millisecond, 0)
 				}
 				f.routers[c.router].setLinks(c.state, c.servers)
 				time.Sleep(c.pause)
