--- a/router/internal/uplink/contacts.go
+++ b/router/internal/uplink/contacts.go
@@ -76,10 +76,7 @@
 // Failed ends the exchange as its connection could not be made or broke without a response.
 func (x *Exchange) Failed() {
 	x.Cancel()
-	c := x.contacts
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.failing[x.server] = struct{}{}
+	x.contacts.fail(x.server)
 }
 
 // Cancel ends the exchange without telling anything about the link. It has no effect on one
@@ -106,6 +103,13 @@
 	clear(c.failing)
 }
 
+// fail records that a connection to a server failed.
+func (c *Contacts) fail(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failing[server] = struct{}{}
+}
+
 // Failing returns the number of servers whose connections failed since a new connection
 // brought a response.
 func (c *Contacts) Failing() int {
--- a/router/internal/uplink/monitor.go
+++ b/router/internal/uplink/monitor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 )
@@ -38,14 +37,6 @@
 	tickInterval      = 50 * time.Millisecond
 	doubtTickInterval = 20 * time.Millisecond
 
-	// doubtInterval is the time between two rounds of probes while there is doubt, and
-	// probeInterval that while it is known that no server answers. probeCount is the number of
-	// servers in a round, and probeTimeout how long a probe may take.
-	doubtInterval = 100 * time.Millisecond
-	probeInterval = 250 * time.Millisecond
-	probeCount    = 4
-	probeTimeout  = time.Second
-
 	// verdictTime is how long probes are awaited before the router counts as cut off.
 	verdictTime = 250 * time.Millisecond
 
@@ -92,6 +83,10 @@
 	// response came.
 	Probe func(ctx context.Context, server string) error
 
+	// LinkFailed reports whether an error of Probe shows that the connection could not be made or
+	// broke without a response.
+	LinkFailed func(error) bool
+
 	// PeerHeardAfter reports whether another router has heard a server after a time.
 	PeerHeardAfter func(time.Time) bool
 
@@ -125,8 +120,10 @@
 	// server since it began, or the zero time.
 	peerHeardAt time.Time
 
-	// pending is the number of probes of the present doubt that have no outcome yet.
-	pending int
+	// pending is the number of probes of the present doubt that have no outcome yet, and answered
+	// says that one of its probes was answered.
+	pending  int
+	answered bool
 
 	// changed is closed and replaced when the state changes.
 	changed chan struct{}
@@ -287,7 +284,7 @@
 
 // beginDoubt begins a doubt. The caller holds m.mu.
 func (m *Monitor) beginDoubt(now time.Time) {
-	m.doubtAt, m.pending, m.probedAt, m.peerHeardAt = now, 0, time.Time{}, time.Time{}
+	m.doubtAt, m.pending, m.answered, m.probedAt, m.peerHeardAt = now, 0, false, time.Time{}, time.Time{}
 }
 
 // judge confirms a doubt.
@@ -322,61 +319,6 @@
 	}
 }
 
-// probe asks some servers, first those whose connections did not fail.
-func (m *Monitor) probe(ctx context.Context, doubtAt time.Time) {
-	servers := m.config.Servers()
-	m.config.Shuffle(servers)
-	slices.SortStableFunc(servers, func(a, b string) int {
-		return boolOrder(m.config.Contacts.isFailing(a)) - boolOrder(m.config.Contacts.isFailing(b))
-	})
-	servers = servers[:min(len(servers), probeCount)]
-	m.mu.Lock()
-	m.pending += len(servers)
-	if len(servers) == 0 { // Without servers there is no link to doubt.
-		m.config.Contacts.clearFailures()
-		m.change(time.Now(), Reached)
-	}
-	m.mu.Unlock()
-	for _, server := range servers {
-		go m.probeOne(ctx, server, doubtAt)
-	}
-}
-
-// boolOrder returns the position of a value in an order of false before true.
-func boolOrder(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// probeOne asks one server.
-func (m *Monitor) probeOne(ctx context.Context, server string, doubtAt time.Time) {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	err := m.config.Probe(probeCtx, server)
-	now := time.Now()
-	if err == nil {
-		m.config.Contacts.Heard(now)
-		m.config.Contacts.clearFailures()
-	}
-	m.mu.Lock()
-	if m.doubtAt != doubtAt {
-		m.mu.Unlock()
-		return // It belongs to an earlier doubt.
-	}
-	m.pending--
-	if err == nil && m.state != Reached {
-		m.calmUntil = now.Add(calmTime)
-		m.change(now, Reached)
-	}
-	failed := err != nil && m.pending == 0
-	m.mu.Unlock()
-	if failed {
-		m.judge(now)
-	}
-}
-
 // change sets the state. The caller holds m.mu.
 func (m *Monitor) change(now time.Time, next State) {
 	m.state, m.since = next, now
--- a/router/internal/uplink/verdict_test.go
+++ b/router/internal/uplink/verdict_test.go
@@ -20,6 +20,7 @@
 	monitor := uplink.NewMonitor(time.Now(), uplink.Config{
 		Contacts: contacts, Servers: serverNames, Shuffle: func([]string) {}, OnChange: func(uplink.Change) {},
 		Probe:          func(ctx context.Context, _ string) error { return probe(ctx) },
+		LinkFailed:     func(err error) bool { return err != nil },
 		PeerHeardAfter: func(after time.Time) bool { return time.Since(after) >= peersTell },
 	})
 	go func() { _ = monitor.Run(t.Context()) }()
--- a/router/relay/uplink.go
+++ b/router/relay/uplink.go
@@ -23,6 +23,7 @@
 		Contacts:       r.contacts,
 		Servers:        r.probableServers,
 		Probe:          r.probe,
+		LinkFailed:     linkFailed,
 		PeerHeardAfter: n.broadcaster.PeerHeardAfter,
 		Shuffle:        shuffle,
 		OnChange:       r.logUplinkChange,
