--- a/router/internal/roster/roster_test.go
+++ b/router/internal/roster/roster_test.go
@@ -200,7 +200,7 @@
 		_, writes := f.store.calls()
 		g.Expect(writes).To(gomega.BeZero())
 		f.setDeaf(false)
-		time.Sleep(time.Minute)
+		time.Sleep(5 * time.Minute) // Each side reads twice a minute on average.
 		g.Expect(f.groups()).To(gomega.Equal(1))
 	})
 }
