--- a/coordination/feed/faketable_test.go
+++ b/coordination/feed/faketable_test.go
@@ -91,6 +91,13 @@
 	return silences%2 == 1 || silences != f.silences
 }
 
+// requestCount returns the number of calls.
+func (f *fakeTable) requestCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests
+}
+
 // setLag sets the delay of responses.
 func (f *fakeTable) setLag(lag time.Duration) {
 	f.mu.Lock()
--- a/coordination/feed/indirect_test.go
+++ b/coordination/feed/indirect_test.go
@@ -123,10 +123,10 @@
 		time.Sleep(2 * time.Second)
 		source.put("a", "1")
 		tellNewest(g, source.fakeTable)
-		before := source.requests
+		before := source.requestCount()
 		source.setLag(500 * time.Millisecond)
 		source.cut.Store(false)
-		for source.requests == before {
+		for source.requestCount() == before {
 			time.Sleep(10 * time.Millisecond)
 		}
 		source.put("a", "2")
--- a/coordination/feed/silence_test.go
+++ b/coordination/feed/silence_test.go
@@ -226,7 +226,7 @@
 		all := startGroup(t, table, 1, 0)
 		time.Sleep(600 * time.Millisecond)
 		g.Expect(all.copyOf(0)).To(gomega.HaveKeyWithValue("a", "1"))
-		g.Expect(table.requests).To(gomega.Equal(1))
+		g.Expect(table.requestCount()).To(gomega.Equal(1))
 	})
 }
 
