--- a/router/relay/callers.go
+++ b/router/relay/callers.go
@@ -156,8 +156,8 @@
 	return context.WithValue(ctx, callerConnKey{}, conn)
 }
 
-// callerEnding returns the error with which reading from the caller of a request ended, or nil
-// if it goes on or the request did not come from a caller.
+// callerEnding returns the error with which reading from the connection of a request ended, or nil
+// if it goes on.
 func callerEnding(ctx context.Context) error {
 	conn, ok := ctx.Value(callerConnKey{}).(*callerConn)
 	if !ok {
--- a/router/relay/log.go
+++ b/router/relay/log.go
@@ -89,8 +89,8 @@
 	p.addRequestFields(p.relay.options.log.Request(time.Now(), nil)).Int("status", status).Str("reason", reason).Msg("request ended")
 }
 
-// logAbandoned logs a request whose caller left. The key error holds how reading from the
-// caller's connection ended, unless another router handed the request over.
+// logAbandoned logs a request whose caller left. The key error holds how reading from its
+// connection ended, which is that of the router that handed the request over, if one did.
 func (p *proxiedRequest) logAbandoned() {
 	event := p.addRequestFields(p.relay.options.log.Request(time.Now(), nil))
 	event.AnErr("error", callerEnding(p.request.Context())).Int("status", 0).Str("reason", "caller left").Msg("request ended")
