--- a/router/internal/uplink/probe_test.go
+++ b/router/internal/uplink/probe_test.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// raiseDoubt has a server refuse a connection after a time in which nothing was heard, and waits for the
+// probes that follow.
+func raiseDoubt(contacts *uplink.Contacts, monitor *uplink.Monitor) {
+	hear(contacts, time.Second)
+	time.Sleep(quietTime)
+	contacts.Begin(time.Now(), "0", serveTime).Failed()
+	monitor.Doubt()
+	synctest.Wait()
+}
+
 // Guards against a router that forgets that servers refuse new connections, as responses still
 // come on those that are open.
 func TestRefusedProbesAreNotForgottenForOpenConnections(t *testing.T) {
@@ -30,11 +40,7 @@
 			time.Sleep(serveTime)
 			return errBroken
 		}, 0)
-		hear(contacts, time.Second)
-		time.Sleep(quietTime)
-		contacts.Begin(time.Now(), "0", serveTime).Failed()
-		monitor.Doubt()
-		synctest.Wait()
+		raiseDoubt(contacts, monitor)
 		hear(contacts, known)
 		synctest.Wait()
 		g.Expect(monitor.State()).To(gomega.Equal(uplink.CutOff))
@@ -69,11 +75,7 @@
 			}
 			return nil
 		}, 0)
-		hear(contacts, time.Second)
-		time.Sleep(quietTime)
-		contacts.Begin(time.Now(), "0", serveTime).Failed()
-		monitor.Doubt()
-		synctest.Wait()
+		raiseDoubt(contacts, monitor)
 		hear(contacts, 2*time.Second)
 		g.Expect(monitor.State()).To(gomega.Equal(uplink.Reached))
 		g.Expect(contacts.Failing()).To(gomega.BeZero())
