--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -38,7 +38,6 @@
 	sequence int64
 	arrivals []arrival
 	running  int
-	conns    map[net.Conn]struct{}
 }
 
 // heartbeat is the interval of the runners' entries.
@@ -52,7 +51,7 @@
 	}
 	r := &runner{
 		id: id, service: service, slots: slots, listener: listener, store: s, behave: behave, state: "ready",
-		born: time.Now().UnixMilli(), conns: map[net.Conn]struct{}{},
+		born: time.Now().UnixMilli(),
 	}
 	r.register()
 	go func() {
