Play review case 11 to the rule as written

The case read the memory of one router. The rule has processes that end three times on two machines at least, so the play now does the platform's part: it kills a router that takes more than its memory, starts it again, and counts on two machines.

--- a/review/standin-3/parts.go
+++ b/review/standin-3/parts.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -46,57 +47,105 @@
 	}
 }
 
-// playParts has a crowd send streaming requests of legal size whose prompts have very many parts.
+// The rule is broken once processes have ended endsToBreak times on machinesToBreak machines. crowdTime
+// and calmCrowdTime are how long the crowd stays at a machine at most, restartDelay the time after which the
+// platform starts a process again, and watchInterval how often it looks at its memory.
+const (
+	endsToBreak     = 3
+	machinesToBreak = 2
+	crowdTime       = 50 * time.Second
+	calmCrowdTime   = 25 * time.Second
+	restartDelay    = time.Second
+	watchInterval   = 50 * time.Millisecond
+)
+
+// machine is a machine whose process the platform kills when it takes more than its memory, and starts again.
+type machine struct {
+	router atomic.Pointer[router]
+	peak   int
+	ends   int
+}
+
+// watch does the platform's part until a time, or until the process has ended often enough.
+func (m *machine) watch(w *world, number int, until time.Time) {
+	for ; time.Now().Before(until) && m.ends < endsToBreak; time.Sleep(watchInterval) {
+		r := m.router.Load()
+		mb := r.residentMB()
+		m.peak = max(m.peak, mb)
+		if mb <= memoryMB && !r.hasEnded() {
+			continue
+		}
+		r.signal(syscall.SIGKILL)
+		<-r.ended
+		m.ends++
+		w.note("machine %d: the process has %d MB of %d and is killed, end %d", number, mb, memoryMB, m.ends)
+		time.Sleep(restartDelay)
+		m.router.Store(w.startRouter(number))
+	}
+}
+
+// playParts has a crowd send streaming requests of legal size whose prompts have very many parts, to one machine
+// after the other.
 func playParts(w *world) string {
 	w.putConfig(1, []map[string]any{route("chat", "streaming", "llm", 1, map[string]any{"target-gap-ms": 3000, "sticky": true, "target-latency-ms": 4000})},
 		[]map[string]any{engineService("llm", 64)}, "key-1")
 	for i := range 18 {
 		startRunner(w.store, fmt.Sprintf("llm-%d", i), "llm", freeAddress(w.ip(100+i)), 64, stream(9*time.Second, 6))
 	}
-	router := w.startRouters(1)[0]
-	rest := ",2:50,3:20"
-	if w.trouble {
-		rest = strings.Repeat(",1:1", manyParts)
+	machines := make([]machine, machinesToBreak)
+	for i, r := range w.startRouters(machinesToBreak) {
+		machines[i].router.Store(r)
 	}
-	body := strings.Repeat("x", bodyBytes)
-	peak := 0
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for end := time.Now().Add(30 * time.Second); time.Now().Before(end) && !router.hasEnded(); time.Sleep(100 * time.Millisecond) {
-			if mb := router.residentMB(); mb > peak {
-				peak = mb
-				w.note("resident %d MB", mb)
-			}
-		}
-	}()
-	var wait sync.WaitGroup
 	var statuses [600]atomic.Int64
-	for member := range crowd {
-		wait.Go(func() {
-			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-				c, err := net.DialTimeout("tcp4", router.front(), time.Second)
-				if err != nil {
-					continue
-				}
-				_, _ = io.WriteString(c, head("POST", "/chat/x", nextID(), 12*time.Second, "X-Model: m", "X-Token-Usage: 4000,40", fmt.Sprintf("X-Prompt-Prefix: %x:10%s", member+16, rest), fmt.Sprintf("Content-Length: %d", len(body)))+"\r\n"+body)
-				_ = c.SetDeadline(time.Now().Add(13 * time.Second))
-				got := readAnswer(bufio.NewReader(c))
-				statuses[got.status].Add(1)
-				_ = c.Close()
-			}
-		})
+	broken := 0
+	for i := range machines {
+		m := &machines[i]
+		length := crowdTime
+		if !w.trouble {
+			length = calmCrowdTime
+		}
+		var over atomic.Bool
+		var wait sync.WaitGroup
+		for member := range crowd {
+			wait.Go(func() { sendMember(w, m, member, &over, &statuses) })
+		}
+		m.watch(w, i, time.Now().Add(length))
+		over.Store(true)
+		m.router.Load().signal(syscall.SIGKILL) // The crowd leaves at once; this end isn't counted.
+		wait.Wait()
+		w.note("machine %d: peak %d MB of %d, %d ends", i, m.peak, memoryMB, m.ends)
+		if m.ends >= endsToBreak {
+			broken++
+		}
 	}
-	wait.Wait()
-	<-done
 	for status := range statuses {
 		if n := statuses[status].Load(); n > 0 {
-			w.note("answered %d: %d", status, n)
+			w.note("answered %d: %d (0: no answer)", status, n)
 		}
 	}
-	w.note("peak %d MB of %d", peak, memoryMB)
-	if router.hasEnded() || peak > memoryMB {
-		return fmt.Sprintf("the process took %d MB on a machine with %d MB", peak, memoryMB)
+	if broken >= machinesToBreak {
+		return fmt.Sprintf("on %d of %d machines the process took more than %d MB and ended %d times", broken, len(machines), memoryMB, endsToBreak)
 	}
 	return ""
 }
+
+// sendMember sends the requests of one client, until the crowd is over.
+func sendMember(w *world, m *machine, member int, over *atomic.Bool, statuses *[600]atomic.Int64) {
+	rest := ",2:50,3:20"
+	if w.trouble {
+		rest = strings.Repeat(",1:1", manyParts)
+	}
+	body := strings.Repeat("x", bodyBytes)
+	for ; !over.Load(); time.Sleep(100 * time.Millisecond) {
+		c, err := net.DialTimeout("tcp4", m.router.Load().front(), time.Second)
+		if err != nil {
+			continue
+		}
+		_, _ = io.WriteString(c, head("POST", "/chat/x", nextID(), 12*time.Second, "X-Model: m", "X-Token-Usage: 4000,40",
+			fmt.Sprintf("X-Prompt-Prefix: %x:10%s", member+16, rest), fmt.Sprintf("Content-Length: %d", len(body)))+"\r\n"+body)
+		_ = c.SetDeadline(time.Now().Add(13 * time.Second))
+		got := readAnswer(bufio.NewReader(c))
+		statuses[got.status].Add(1)
+		_ = c.Close()
+	}
+}
