Pass on no promise of a server for a request that may have run

Cause: a server that failed a request which it had run, with 503 and without the statement that nothing ran, had its status passed on: 503 as the fallback, 408 and 429 at once. The router was careful only with its own promises. A promise without the statement counts as a failure of the server: an idempotent request goes to another one, and if nothing better comes the caller gets 502 without the server's signature, or an earlier failure of another status. With the statement callers still get a promise. A success that carries the statement is a success. Ruled out: a second attempt by the router (runs 1 in the log), a refusal of its own. The product's own API tells callers in a field of its own whether a request ran, and takes no server's 503 for a statement.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -230,25 +230,24 @@
 // fallback instead, as another server may give a better response.
 func (p *proxiedRequest) relayResponse(response *hop.Response, reservation *placement.Reservation, watch *watchdog) (attemptResult, error) {
 	info := p.relay.options.codec.ParseResponse(response.Status, response.Header)
-	success := response.Status >= 200 && response.Status < 300
+	success := isSuccess(response.Status)
 	switch {
 	case success && !info.Signed:
 		return incomplete, errUnsigned
 	case success && p.class.Kind == Stream:
 		return p.relayStream(response, reservation, watch)
 	}
+	notRun := info.NotExecuted && !success // A success contradicts the statement and is taken for what it is.
 	buffered, err := p.bufferResponse(response, watch)
-	if err != nil {
-		if info.NotExecuted {
-			return notExecuted, nil
-		}
-		return incomplete, err
-	}
 	switch {
-	case info.NotExecuted:
+	case notRun:
 		return notExecuted, nil
+	case err != nil:
+		return incomplete, err
 	case !success && p.headWritten: // The caller would find the error in the middle of its stream.
 		return serverError, nil
+	case truthful(response.Status, true) != response.Status:
+		return serverError, fmt.Errorf("%w: status %d", errBrokenPromise, response.Status)
 	case !success && response.Status >= http.StatusInternalServerError:
 		p.fallback = buffered
 		return serverError, nil
--- a/router/relay/handover.go
+++ b/router/relay/handover.go
@@ -259,7 +259,7 @@
 		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds >= 0 {
 			p.retryAfter = min(time.Duration(seconds*float64(time.Second)), time.Until(p.deadline))
 		}
-		if buffered.status == http.StatusServiceUnavailable {
+		if promisesNotRun(buffered.status) {
 			return notExecuted, nil
 		}
 	}
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -77,6 +77,11 @@
 // writeBuffered writes a response that was read completely, and returns when it
 // was passed on or the caller can't be written to.
 func (p *proxiedRequest) writeBuffered(buffered *bufferedResponse) error {
+	if status := truthful(buffered.status, true); status != buffered.status {
+		p.setOutcome(handover.Ended)
+		p.writeError(status, errBrokenPromise.Error())
+		return nil
+	}
 	p.copyHeader(buffered.header)
 	if buffered.status != http.StatusNoContent && buffered.status != http.StatusNotModified {
 		p.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
@@ -157,6 +162,7 @@
 // writeError logs the reason and writes a response without a body that the
 // router itself generates.
 func (p *proxiedRequest) writeError(status int, reason string) {
+	status = truthful(status, p.executions > 0)
 	p.logUnserved(status, reason)
 	p.writer.Header()["Content-Type"] = nil
 	p.writer.Header().Set("Content-Length", "0")
