--- a/router/relay/promise.go
+++ b/router/relay/promise.go
@@ -31,4 +31,6 @@
 }
 
 // isSuccess reports whether a status is that of a successful response.
-func isSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
