Keep what is sound of a load report, and bound what goes into it

Cause: a load report is the sign of life of its sender too, and was read as a whole or not at all. Change: numbers of tokens are bounded where they are decoded, an estimate also by the limit that its caller sets; names in entries and times in Retry-After, Keep-Alive and deadlines are bounded. Services without requests are not reported, and forgotten with their entries. A report that would not fit into a datagram is shortened; loads for a home go in several. A receiver leaves out loads, demands and addresses that are not valid and takes the rest; a datagram that was cut off is an error of its own. A test is replaced: TestReportsWithOddNumbersAreDropped demanded that the whole report is dropped. TestOddNumbersOfAReportAreLeftOut demands that no odd number reaches the sums, for more numbers than before, and besides that the rest arrives and the sender counts as alive. TestPartitionOfTheLowestNamedRouterIsAdopted takes the hash of its service from a router that has had a request. Ruled out: lost datagrams and slow routers (the log names sender and reason).

--- a/router/internal/datagram/datagram.go
+++ b/router/internal/datagram/datagram.go
@@ -14,6 +14,9 @@
 // MaxSize bounds the size of a datagram, in bytes.
 const MaxSize = 16 << 10
 
+// ErrTooLong means that a datagram is longer than MaxSize.
+const ErrTooLong = errors.ConstError("datagram too long")
+
 // Listen opens a socket that is closed when the context ends.
 func Listen(ctx context.Context, address netip.AddrPort) (net.PacketConn, error) {
 	var config net.ListenConfig
@@ -28,7 +31,7 @@
 // ReceiveAll passes each datagram with its sender to a function until the
 // context ends. It reports errors and goes on.
 func ReceiveAll(ctx context.Context, conn net.PacketConn, handle func(netip.AddrPort, []byte) error, report func(error)) error {
-	buffer := make([]byte, MaxSize)
+	buffer := make([]byte, MaxSize+1) // Room in which a longer one is noticed.
 	for {
 		n, from, err := conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
@@ -45,8 +48,16 @@
 		}
 		address := udp.AddrPort()
 		sender := netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
-		if err := handle(sender, buffer[:n]); err != nil {
+		if err := handleChecked(handle, sender, buffer[:n]); err != nil {
 			report(fmt.Errorf("message from %s: %w", sender, err))
 		}
 	}
 }
+
+// handleChecked passes a datagram to a function unless it is longer than MaxSize.
+func handleChecked(handle func(netip.AddrPort, []byte) error, sender netip.AddrPort, data []byte) error {
+	if len(data) > MaxSize {
+		return ErrTooLong
+	}
+	return handle(sender, data)
+}
--- a/router/internal/hop/conn.go
+++ b/router/internal/hop/conn.go
@@ -46,6 +46,9 @@
 	defaultIdleTime = 3 * time.Second
 	idleMargin      = time.Second
 
+	// maxIdleSeconds bounds the timeout that a server states, in seconds.
+	maxIdleSeconds = 3600
+
 	readBufferSize = 4 << 10
 )
 
@@ -134,7 +137,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(text); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(min(seconds, maxIdleSeconds))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTime
--- a/router/internal/loadreport/broadcaster.go
+++ b/router/internal/loadreport/broadcaster.go
@@ -177,7 +177,7 @@
 		case <-ctx.Done():
 			return
 		case <-b.announce:
-			err = b.send(conn, b.activePeers(now), message{PlanInForce: b.planInForce(), Proofs: b.config.Proofs()})
+			err = b.send(conn, b.activePeers(now), report{PlanInForce: b.planInForce(), Proofs: b.config.Proofs()})
 		case <-timer.C:
 			peers := b.activePeers(now)
 			timer.Reset(interval(len(peers)))
@@ -197,7 +197,7 @@
 // sendReport sends one report to the peers. It returns the last error.
 func (b *Broadcaster) sendReport(conn net.PacketConn, peers []netip.AddrPort, now time.Time) error {
 	age, hasPlan := b.config.PlanAge()
-	return b.send(conn, peers, message{
+	return b.send(conn, peers, report{
 		HasReport: true, Report: b.config.Balancer.LoadReport(now), Peers: samplePeers(b.Live(now)),
 		PlanAge: age, HasPlan: hasPlan, PlanInForce: b.planInForce(), Proofs: b.config.Proofs(), Reach: b.ownReach(),
 	})
@@ -212,7 +212,7 @@
 }
 
 // send sends a message to the peers. It returns the last error.
-func (b *Broadcaster) send(conn net.PacketConn, peers []netip.AddrPort, m message) error {
+func (b *Broadcaster) send(conn net.PacketConn, peers []netip.AddrPort, m report) error {
 	data, err := encode(m)
 	if err != nil {
 		return fmt.Errorf("encode load report: %w", err)
--- a/router/internal/loadreport/directory.go
+++ b/router/internal/loadreport/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -179,7 +180,8 @@
 	return home.Of(uint64(server), d.config.Address, d.members)
 }
 
-// send sends a message.
+// send sends a message, in several datagrams if there are too many loads for one. The first answer to one of them
+// answers the question; all are applied.
 func (d *Directory) send(to netip.AddrPort, m directoryMessage) error {
 	d.mu.Lock()
 	conn := d.conn
@@ -191,6 +193,11 @@
 	if err != nil {
 		return err
 	}
+	if half := len(m.Loads) / 2; len(data) > datagram.MaxSize && half > 0 {
+		rest := m
+		m.Loads, rest.Loads = m.Loads[:half], m.Loads[half:]
+		return errors.Join(d.send(to, m), d.send(to, rest))
+	}
 	if _, err := conn.WriteTo(data, net.UDPAddrFromAddrPort(to)); err != nil {
 		return fmt.Errorf("send load to %s: %w", to, err)
 	}
--- a/router/internal/loadreport/directory_codec.go
+++ b/router/internal/loadreport/directory_codec.go
@@ -3,8 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"snipetally.example/router/internal/codec"
 	"snipetally.example/router/internal/placement"
 )
 
@@ -28,7 +27,7 @@
 
 // encodeDirectory returns the CBOR encoding of a message.
 func encodeDirectory(m directoryMessage) ([]byte, error) {
-	data, err := cbor.Marshal(wireDirectoryMessage{Question: m.Question, Answer: m.Answer, Loads: encodeLoads(m.Loads)})
+	data, err := codec.Marshal(wireDirectoryMessage{Question: m.Question, Answer: m.Answer, Loads: encodeLoads(m.Loads)})
 	if err != nil {
 		return nil, fmt.Errorf("encode directory message: %w", err)
 	}
@@ -38,11 +37,8 @@
 // decodeDirectory is the inverse of encodeDirectory.
 func decodeDirectory(data []byte) (directoryMessage, error) {
 	var w wireDirectoryMessage
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := codec.Unmarshal(data, &w); err != nil {
 		return directoryMessage{}, fmt.Errorf("decode directory message: %w", err)
 	}
-	if err := checkNumbers(w.Loads, nil); err != nil {
-		return directoryMessage{}, err
-	}
 	return directoryMessage{Question: w.Question, Answer: w.Answer, Loads: decodeLoads(w.Loads)}, nil
 }
--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -91,6 +92,9 @@
 	// hash names the service in reports.
 	hash uint32
 
+	// requested says that a request for the service has come.
+	requested bool
+
 	// members are ordered by hash, which is the same at each router.
 	members   []*server
 	demand    demand
@@ -160,12 +164,25 @@
 		svc := b.service(next.Service)
 		svc.members = append(svc.members, s)
 	}
+	b.forgetUnusedServices()
 	for _, s := range b.services {
 		slices.SortFunc(s.members, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 	}
 	b.recomputePeerLoads()
 }
 
+// forgetUnusedServices drops the services without servers that have had no requests. Estimates of others are
+// kept, as their servers may come back. The caller holds b.mu.
+func (b *Balancer) forgetUnusedServices() {
+	maps.DeleteFunc(b.services, func(_ string, s *service) bool {
+		unused := len(s.members) == 0 && !s.requested
+		if unused && b.servicesByHash[s.hash] == s {
+			delete(b.servicesByHash, s.hash)
+		}
+		return unused
+	})
+}
+
 // service returns the estimates of a service and creates them if needed. The
 // caller holds b.mu.
 func (b *Balancer) service(name string) *service {
@@ -248,6 +265,7 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	svc := b.service(req.Service)
+	svc.requested = true
 	candidates := svc.candidates(now, &req, tried)
 	if len(candidates) == 0 {
 		return svc.pickNone(now, &req, tried)
--- a/router/internal/placement/peers.go
+++ b/router/internal/placement/peers.go
@@ -125,7 +125,8 @@
 }
 
 // LoadReport returns this router's load report. Idle servers without notable
-// failures are left out.
+// failures are left out, and so are services of which this router knows nothing that
+// others could use.
 func (b *Balancer) LoadReport(now time.Time) LoadReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -141,23 +142,36 @@
 		})
 	}
 	for _, s := range b.services {
-		report.Demands = append(report.Demands, ServiceDemand{
-			Service:      s.hash,
-			Short:        s.demand.groupDemand(now, shortGroup),
-			Long:         s.demand.groupDemand(now, longGroup),
-			TokenRate:    s.tokenRate.current(now),
-			PrefillSpeed: s.prefillSpeed,
-			Samples:      s.speedSamples,
-			ShortServers: s.demand.announcedShortServers(now.Sub(b.startedAt)),
-			Servers:      s.demand.totalServers,
-			ShortLength:  s.demand.boundary,
-		})
+		if demand := s.ownDemand(now, now.Sub(b.startedAt)); demand.isNotable() {
+			report.Demands = append(report.Demands, demand)
+		}
 	}
 	report.Uses = append(slices.Clone(b.sentUses), b.newUses...)
 	b.sentUses, b.newUses = b.newUses, nil
 	return report
 }
 
+// ownDemand returns this router's demand at the service, after it has been running for a time.
+func (s *service) ownDemand(now time.Time, running time.Duration) ServiceDemand {
+	return ServiceDemand{
+		Service:      s.hash,
+		Short:        s.demand.groupDemand(now, shortGroup),
+		Long:         s.demand.groupDemand(now, longGroup),
+		TokenRate:    s.tokenRate.current(now),
+		PrefillSpeed: s.prefillSpeed,
+		Samples:      s.speedSamples,
+		ShortServers: s.demand.announcedShortServers(running),
+		Servers:      s.demand.totalServers,
+		ShortLength:  s.demand.boundary,
+	}
+}
+
+// isNotable reports whether a demand tells others anything. That of a service without requests does
+// not; entries of servers may name any number of such services.
+func (d *ServiceDemand) isNotable() bool {
+	return d.Short != GroupDemand{} || d.Long != GroupDemand{} || d.TokenRate != 0 || d.Samples > 0 || d.ShortServers > 0
+}
+
 // ApplyReport replaces the last load report of another router. The report must
 // not be changed afterwards.
 func (b *Balancer) ApplyReport(now time.Time, name string, report LoadReport) {
--- a/router/relay/handover.go
+++ b/router/relay/handover.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -256,8 +255,8 @@
 		return incomplete, err
 	}
 	if outcome == handover.Refused {
-		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds >= 0 {
-			p.retryAfter = min(time.Duration(seconds*float64(time.Second)), time.Until(p.deadline))
+		if wait := retryAfterOf(response.Header); wait > 0 {
+			p.retryAfter = min(wait, time.Until(p.deadline))
 		}
 		if promisesNotRun(buffered.status) {
 			return notExecuted, nil
--- a/router/relay/request.go
+++ b/router/relay/request.go
@@ -266,7 +266,7 @@
 		Level:        rankLevel(p.rank, len(p.index.ranks)),
 	}
 	if p.info.ExpectedOutputTokens > 0 {
-		p.placementRequest.OutputTokens = p.info.ExpectedOutputTokens
+		p.placementRequest.OutputTokens = p.expectedOutputTokens()
 	}
 	for _, part := range p.info.Parts {
 		p.placementRequest.Parts = append(p.placementRequest.Parts, placement.Part(part))
@@ -277,6 +277,15 @@
 	}
 }
 
+// expectedOutputTokens returns the caller's estimate of the length of the response, which is often far off, at
+// most the limit that it sets.
+func (p *proxiedRequest) expectedOutputTokens() int {
+	if p.info.MaxOutputTokens > 0 {
+		return min(p.info.ExpectedOutputTokens, p.info.MaxOutputTokens)
+	}
+	return p.info.ExpectedOutputTokens
+}
+
 // sharedParts returns the parts of the prompt that other requests may have too.
 func (p *proxiedRequest) sharedParts() []PromptPart {
 	return p.info.Parts[:max(len(p.info.Parts)-1, 0)]
--- a/router/relay/rest.go
+++ b/router/relay/rest.go
@@ -18,9 +18,15 @@
 	if response.Status != http.StatusServiceUnavailable {
 		return 0
 	}
-	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return retryAfterOf(response.Header)
+}
+
+// retryAfterOf returns the time that a header names in Retry-After, at most maxRest, or zero if it names none. A
+// date tells nothing without a common clock.
+func retryAfterOf(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
 	if err != nil || !(seconds > 0) {
-		return 0 // It names none, or a date, which tells nothing without a common clock.
+		return 0
 	}
 	return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
 }
