Read messages whose texts are no UTF-8, and split long ones

Cause: X-Model, cut at 64 bytes, and headers in Latin-1 may be no UTF-8. The decoder rejected the whole message for that: evidence on such a model reached no other router, and such a request could not be handed over. 64 verdicts with long names did not fit into a datagram, and a router that can't read the store never learned of them. Change: all messages between routers go through router/internal/codec, which takes texts as bytes. A message of the quarantine that is too long is sent as two.

--- a/router/internal/handover/handover.go
+++ b/router/internal/handover/handover.go
@@ -9,8 +9,9 @@
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"snipetally.example/router/internal/codec"
 )
 
 // Path is the path of the call, and ContentType the type of its body.
@@ -86,7 +87,7 @@
 
 // Encode returns the CBOR encoding of a request.
 func Encode(r Request) ([]byte, error) {
-	data, err := cbor.Marshal(wireRequest{
+	data, err := codec.Marshal(wireRequest{
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body, HasBody: r.HasBody,
 		TimeoutUS: r.Timeout.Microseconds(), Service: r.Service, Executions: r.Executions, LastEventID: r.LastEventID,
 		PlanVersion: r.PlanVersion,
@@ -101,7 +102,7 @@
 // impossible values.
 func Decode(data []byte) (Request, error) {
 	var w wireRequest
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := codec.Unmarshal(data, &w); err != nil {
 		return Request{}, fmt.Errorf("decode handed over request: %w", err)
 	}
 	if w.TimeoutUS <= 0 || w.TimeoutUS > maxTimeout.Microseconds() || w.Executions < 0 || w.Method == "" || w.Target == "" {
--- a/router/internal/quarantine/codec.go
+++ b/router/internal/quarantine/codec.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"snipetally.example/router/internal/codec"
 )
 
 // message is the content of a datagram between routers.
@@ -107,7 +109,7 @@
 	for i := range m.Verdicts {
 		w.Verdicts = append(w.Verdicts, encodeVerdict(&m.Verdicts[i]))
 	}
-	data, err := cbor.Marshal(w)
+	data, err := codec.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
@@ -117,7 +119,7 @@
 // decode is the inverse of encode.
 func decode(data []byte) (message, error) {
 	var w wireMessage
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := codec.Unmarshal(data, &w); err != nil {
 		return message{}, fmt.Errorf("decode message: %w", err)
 	}
 	m := message{Ask: w.Ask, Answer: w.Answer, Sound: make(map[Key]int, len(w.Sound))}
@@ -143,6 +145,39 @@
 	return m, nil
 }
 
+// split returns two messages that say together what a message says, and false if it says one thing only.
+func (m message) split() (first, second message, ok bool) {
+	first, second = m, message{}
+	switch {
+	case len(m.Crashes) > 1:
+		half := len(m.Crashes) / 2
+		first.Crashes, second.Crashes = m.Crashes[:half], m.Crashes[half:]
+	case len(m.Crashes) == 1 && len(m.Crashes[0].Runs) > 1:
+		crash := m.Crashes[0]
+		half := len(crash.Runs) / 2
+		first.Crashes = []Crash{{Engine: crash.Engine, Runs: crash.Runs[:half]}}
+		second.Crashes = []Crash{{Engine: crash.Engine, Runs: crash.Runs[half:]}}
+	case len(m.Sound) > 1:
+		first.Sound, second.Sound = make(map[Key]int), make(map[Key]int)
+		for key, n := range m.Sound {
+			if len(first.Sound) < len(m.Sound)/2 {
+				first.Sound[key] = n
+			} else {
+				second.Sound[key] = n
+			}
+		}
+	case len(m.Verdicts) > 1:
+		half := len(m.Verdicts) / 2
+		first.Verdicts, second.Verdicts = m.Verdicts[:half], m.Verdicts[half:]
+	case len(m.Asked) > 1:
+		half := len(m.Asked) / 2
+		first.Asked, second.Asked = m.Asked[:half], m.Asked[half:]
+	default:
+		return m, message{}, false
+	}
+	return first, second, true
+}
+
 // encodeSound returns the wire format of a key and a number of sound starts or ends.
 func encodeSound(key Key, count int) wireSound {
 	return wireSound{Service: key.Scope.Service, Model: key.Scope.Model, Part: key.Part, Request: key.Request.bytes(), Count: count}
@@ -175,7 +210,7 @@
 // epoch has a row of its own, so that a write that takes effect late replaces nothing
 // newer.
 func EncodeRow(v Verdict) (key string, value []byte, err error) {
-	value, err = cbor.Marshal(encodeVerdict(&v))
+	value, err = codec.Marshal(encodeVerdict(&v))
 	if err != nil {
 		return "", nil, fmt.Errorf("encode verdict: %w", err)
 	}
@@ -197,13 +232,13 @@
 // padVerdict adds the fields that a row lacks which a router of an older version wrote.
 func padVerdict(row []byte) ([]byte, error) {
 	var fields []cbor.RawMessage
-	if err := cbor.Unmarshal(row, &fields); err != nil {
+	if err := codec.Unmarshal(row, &fields); err != nil {
 		return nil, err //nolint:wrapcheck // DecodeRow wraps it.
 	}
 	for len(fields) < verdictFields {
 		fields = append(fields, cborNull)
 	}
-	return cbor.Marshal(fields) //nolint:wrapcheck // As above.
+	return codec.Marshal(fields) //nolint:wrapcheck // As above.
 }
 
 // cborNull is the encoding of null.
@@ -216,7 +251,7 @@
 	if err != nil {
 		return Verdict{}, fmt.Errorf("decode verdict: %w", err)
 	}
-	if err := cbor.Unmarshal(value, &w); err != nil {
+	if err := codec.Unmarshal(value, &w); err != nil {
 		return Verdict{}, fmt.Errorf("decode verdict: %w", err)
 	}
 	v := decodeVerdict(&w)
--- a/router/internal/quarantine/exchange.go
+++ b/router/internal/quarantine/exchange.go
@@ -332,7 +332,7 @@
 	e.sendAll(message{Answer: true}, []netip.AddrPort{to})
 }
 
-// sendAll sends a message to routers.
+// sendAll sends a message to routers, in several datagrams if it is too long for one.
 func (e *Exchange) sendAll(m message, routers []netip.AddrPort) {
 	if !e.socket.IsOpen() || len(routers) == 0 {
 		return
@@ -342,5 +342,10 @@
 		e.config.ReportError(err)
 		return
 	}
+	if first, second, ok := m.split(); ok && len(data) > datagram.MaxSize {
+		e.sendAll(first, routers)
+		e.sendAll(second, routers)
+		return
+	}
 	e.socket.Send(data, routers)
 }
