Let an odd statement on a server cost no other one

Cause: a message about limits, leaving and brittle servers was dropped as a whole for one statement whose number is none or too large, with the others and the question in it. Change: such a statement is left out; numbers of questions and answers are kept within bounds.

--- a/router/internal/sharedrate/codec.go
+++ b/router/internal/sharedrate/codec.go
@@ -5,8 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/juju/errors"
+	"snipetally.example/router/internal/codec"
 )
 
 // keyedStatement is a statement on a rate.
@@ -107,6 +106,9 @@
 	Level     uint8
 }
 
+// maxPermits bounds the permits of a question or an answer. It is far more than a router needs at a time.
+const maxPermits = 1 << 20
+
 // levels is the number of steps between the first and the last level on the wire.
 const levels = math.MaxUint8
 
@@ -128,7 +130,7 @@
 			Permits: m.Answer.Permits, WaitUS: m.Answer.Wait.Microseconds(), Level: encodeLevel(m.Answer.Level),
 		}
 	}
-	data, err := cbor.Marshal(w)
+	data, err := codec.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
@@ -136,37 +138,33 @@
 }
 
 // decode is the inverse of encode at a time on the receiver's clock, but for the time that
-// the message took.
+// the message took. Statements that are not valid, and questions and answers with one, are left
+// out; the rest holds.
 func decode(now time.Duration, data []byte) (message, error) {
 	var w wireMessage
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := codec.Unmarshal(data, &w); err != nil {
 		return message{}, fmt.Errorf("decode message: %w", err)
 	}
 	m := message{sentAt: now, Sync: syncStep(w.Sync), Routers: w.Routers}
 	for _, s := range w.Statements {
-		statement, err := decodeStatement(now, s)
-		if err != nil {
-			return message{}, err
+		if statement, ok := decodeStatement(now, s); ok {
+			m.Statements = append(m.Statements, keyedStatement{Key: Key(s.Key), Statement: statement})
 		}
-		m.Statements = append(m.Statements, keyedStatement{Key: Key(s.Key), Statement: statement})
 	}
 	if w.Ask != nil {
-		statement, err := decodeStatement(now, w.Ask.Statement)
-		if err != nil {
-			return message{}, err
-		}
-		m.Ask = ask{
-			Number: w.Ask.Number, Key: Key(w.Ask.Statement.Key), Statement: statement, Level: decodeLevel(w.Ask.Level), Want: w.Ask.Want,
+		if statement, ok := decodeStatement(now, w.Ask.Statement); ok {
+			m.Ask = ask{
+				Number: w.Ask.Number, Key: Key(w.Ask.Statement.Key), Statement: statement, Level: decodeLevel(w.Ask.Level),
+				Want: min(max(w.Ask.Want, 1), maxPermits),
+			}
 		}
 	}
 	if w.Answer != nil {
-		statement, err := decodeStatement(now, w.Answer.Statement)
-		if err != nil {
-			return message{}, err
-		}
-		m.Answer = answer{
-			Number: w.Answer.Number, Key: Key(w.Answer.Statement.Key), Statement: statement, Permits: w.Answer.Permits,
-			Wait: time.Duration(w.Answer.WaitUS) * time.Microsecond, Level: decodeLevel(w.Answer.Level),
+		if statement, ok := decodeStatement(now, w.Answer.Statement); ok {
+			m.Answer = answer{
+				Number: w.Answer.Number, Key: Key(w.Answer.Statement.Key), Statement: statement, Permits: min(max(w.Answer.Permits, 0), maxPermits),
+				Wait: codec.Duration(w.Answer.WaitUS, time.Microsecond), Level: decodeLevel(w.Answer.Level),
+			}
 		}
 	}
 	return m, nil
@@ -175,18 +173,18 @@
 // encodeStatement returns the wire format of a statement at a time.
 func encodeStatement(now time.Duration, key Key, s Statement) wireStatement {
 	return wireStatement{
-		Key: uint64(key), Limited: s.Limited, PerSecond: s.PerSecond, AgeUS: max(now-s.At, 0).Microseconds(), Leaving: s.Leaving,
+		Key: uint64(key), Limited: s.Limited, PerSecond: min(s.PerSecond, codec.MaxNumber), AgeUS: max(now-s.At, 0).Microseconds(), Leaving: s.Leaving,
 	}
 }
 
-// decodeStatement is the inverse of encodeStatement.
-func decodeStatement(now time.Duration, w wireStatement) (Statement, error) {
-	if !(w.PerSecond >= 0) || math.IsInf(w.PerSecond, 0) || w.AgeUS < 0 || w.AgeUS > math.MaxInt64/int64(time.Microsecond) {
-		return Statement{}, errors.NotValidf("limit %v of age %d", w.PerSecond, w.AgeUS)
+// decodeStatement is the inverse of encodeStatement. It returns false if the statement is not valid.
+func decodeStatement(now time.Duration, w wireStatement) (Statement, bool) {
+	if w.PerSecond < 0 || !codec.IsNumber(w.PerSecond) || w.AgeUS < 0 {
+		return Statement{}, false
 	}
 	return Statement{
-		Limited: w.Limited, PerSecond: w.PerSecond, Leaving: w.Leaving, At: now - time.Duration(w.AgeUS)*time.Microsecond,
-	}, nil
+		Limited: w.Limited, PerSecond: w.PerSecond, Leaving: w.Leaving, At: now - codec.Duration(w.AgeUS, time.Microsecond),
+	}, true
 }
 
 // encodeLevel returns the wire format of a level.
--- a/router/internal/sharedrate/placecodec.go
+++ b/router/internal/sharedrate/placecodec.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/juju/errors"
+	"snipetally.example/router/internal/codec"
 )
 
 // placesKind is the first byte of a message about places. It begins no other message, so that
@@ -152,7 +150,7 @@
 			Key: uint64(b.Key), Brittle: b.Brittle, Tolerated: b.Tolerated, AgeUS: max(now-b.At, 0).Microseconds(),
 		})
 	}
-	data, err := cbor.Marshal(w)
+	data, err := codec.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode message about places: %w", err)
 	}
@@ -160,20 +158,17 @@
 }
 
 // decodePlaces is the inverse of encodePlaces at a time on the receiver's clock, but for the time
-// that the message took.
+// that the message took. Statements that are not valid are left out, and numbers are kept within bounds.
 func decodePlaces(now time.Duration, data []byte) (placeMessage, error) {
 	var w wirePlaces
-	if err := cbor.Unmarshal(data[1:], &w); err != nil {
+	if err := codec.Unmarshal(data[1:], &w); err != nil {
 		return placeMessage{}, fmt.Errorf("decode message about places: %w", err)
 	}
 	m := placeMessage{Started: w.Started, Returns: w.Returns}
 	if a := w.Ask; a != nil {
-		if a.Slots < 0 || a.Slots > maxSlots || a.Tolerated < 0 || a.PatienceUS < 0 || a.PatienceUS > maxPatience.Microseconds() {
-			return placeMessage{}, errors.NotValidf("question for %d slots with patience %d", a.Slots, a.PatienceUS)
-		}
 		m.Ask = placeAsk{
-			Number: a.Number, Key: Key(a.Key), Slots: a.Slots, Opened: a.Opened, Tolerated: a.Tolerated, Level: decodeLevel(a.Level),
-			Patience: time.Duration(a.PatienceUS) * time.Microsecond,
+			Number: a.Number, Key: Key(a.Key), Slots: min(max(a.Slots, 0), maxSlots), Opened: a.Opened, Tolerated: max(a.Tolerated, 0),
+			Level: decodeLevel(a.Level), Patience: min(codec.Duration(a.PatienceUS, time.Microsecond), maxPatience),
 		}
 	}
 	for _, a := range w.Answers {
@@ -188,10 +183,10 @@
 		m.Releases = append(m.Releases, placeRelease{Key: Key(r.Key), Number: r.Number, Ending: Ending(r.Ending)})
 	}
 	for _, b := range w.Brittle {
-		if b.Tolerated < 0 || b.AgeUS < 0 || b.AgeUS > math.MaxInt64/int64(time.Microsecond) {
-			return placeMessage{}, errors.NotValidf("brittleness %d of age %d", b.Tolerated, b.AgeUS)
+		if b.Tolerated < 0 || b.AgeUS < 0 {
+			continue
 		}
-		at := now - time.Duration(b.AgeUS)*time.Microsecond
+		at := now - codec.Duration(b.AgeUS, time.Microsecond)
 		m.Brittle = append(m.Brittle, keyedBrittleness{Key: Key(b.Key), Brittleness: Brittleness{Brittle: b.Brittle, Tolerated: b.Tolerated, At: at}})
 	}
 	return m, nil
