--- a/router/internal/loadreport/codec.go
+++ b/router/internal/loadreport/codec.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"snipetally.example/coordination/feed"
-	"snipetally.example/router/internal/datagram"
 	"snipetally.example/router/internal/codec"
+	"snipetally.example/router/internal/datagram"
 	"snipetally.example/router/internal/placement"
 )
 
