Send no prompt to an engine that has not the memory for it

Cause: the plan names the memory of engines, and the choice of a server used it for costs only. Change: such an engine is no candidate. If none is left, the request is refused with placement.ErrTooLarge and 10 s until another try. One that may not fit with the longest response that its caller allows goes to one engine instead of three. A property is changed: TestEveryChoiceIsAServerThatWasNotTried knew no such error. It now demands besides that each chosen engine may hold the prompt, and allows the error only if none that may was left. Ruled out: too many places (ordinary requests take a tenth of the slots).

--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -244,13 +244,16 @@
 	// asked for nothing for a while.
 	ErrLimited = errors.ConstError("servers limited")
 
+	// ErrTooLarge means that the prompt is larger than the memory of each server left to try.
+	ErrTooLarge = errors.ConstError("prompt larger than servers")
+
 	// ErrBusy means that the request would wait too long at the best server.
 	ErrBusy = errors.ConstError("servers busy")
 )
 
 // Pick chooses a server for the request and reserves capacity there. It skips
-// the servers in tried. The error is ErrNoServer, or ErrBusy together with the
-// choice that was rejected.
+// the servers in tried. The error is ErrNoServer, ErrLimited, ErrTooLarge, or ErrBusy together
+// with the choice that was rejected.
 func (b *Balancer) Pick(now time.Time, req Request, tried []string) (*Reservation, Choice, error) {
 	reservation, choice, err := b.pick(now, req, tried)
 	if err == nil {
@@ -293,7 +296,7 @@
 	var suspended []*server
 	for _, m := range s.members {
 		switch {
-		case slices.Contains(tried, m.ID), m.withholds(now, req):
+		case slices.Contains(tried, m.ID), m.withholds(now, req), !m.fits(req):
 		case now.Before(m.suspendedUntil):
 			suspended = append(suspended, m)
 		default:
--- a/router/internal/placement/property_test.go
+++ b/router/internal/placement/property_test.go
@@ -54,7 +54,7 @@
 
 // TestEveryChoiceIsAServerThatWasNotTried lets a router place and end random
 // requests while servers come and go. Each choice is one of the current servers
-// that were not tried, there is one if any is left, and no load remains when all
+// that were not tried and may hold the prompt, there is one if any is left, and no load remains when all
 // requests have ended.
 func TestEveryChoiceIsAServerThatWasNotTried(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -79,13 +79,20 @@
 				}
 			default:
 				tried := drawTried(rt, servers)
-				reservation, choice, err := balancer.Pick(now, drawRequest(rt), tried)
+				request := drawRequest(rt)
+				fitting := fittingServers(servers, request)
+				reservation, choice, err := balancer.Pick(now, request, tried)
 				switch {
 				case err == nil:
 					open = append(open, reservation)
-					expectUntried(g, servers, tried, choice.Server)
+					expectUntried(g, fitting, tried, choice.Server)
 				case errors.Is(err, placement.ErrBusy):
-					expectUntried(g, servers, tried, choice.Server)
+					expectUntried(g, fitting, tried, choice.Server)
+				case errors.Is(err, placement.ErrTooLarge):
+					g.Expect(len(tried)).To(gomega.BeNumerically("<", len(servers)), "none was left")
+					for _, s := range fitting {
+						g.Expect(tried).To(gomega.ContainElement(s.ID), "a server was left")
+					}
 				default:
 					g.Expect(err).To(gomega.MatchError(placement.ErrNoServer))
 					g.Expect(tried).To(gomega.HaveLen(len(servers)), "a server was left")
@@ -99,6 +106,17 @@
 	})
 }
 
+// fittingServers returns the servers whose memory may hold the prompt of a request.
+func fittingServers(servers []placement.Server, request placement.Request) []placement.Server {
+	var fitting []placement.Server
+	for _, s := range servers {
+		if s.CacheTokens == 0 || s.CacheTokens >= int64(request.PromptTokens) {
+			fitting = append(fitting, s)
+		}
+	}
+	return fitting
+}
+
 // drawTried draws the servers that a request has tried.
 func drawTried(rt *rapid.T, servers []placement.Server) []string {
 	var tried []string
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -194,6 +194,12 @@
 	return min(over, 1+over*float64(s.queuedTokensBefore(priority))/float64(backlog))
 }
 
+// fits reports whether the server's memory is large enough for the prompt of a request, if it had no other. One
+// that is not rejects the request as if it were full.
+func (s *server) fits(req *Request) bool {
+	return !s.Engine || s.CacheTokens <= 0 || int64(req.PromptTokens) <= s.CacheTokens
+}
+
 // memoryExcess returns by what fraction the requests in progress, and one that
 // needs more tokens, exceed the engine's memory. It is zero if the size of the
 // memory is not known.
--- a/router/internal/placement/withhold.go
+++ b/router/internal/placement/withhold.go
@@ -42,18 +42,25 @@
 // has the time until the first of them may be asked for again.
 func (s *service) pickNone(now time.Time, req *Request, tried []string) (*Reservation, Choice, error) {
 	var first time.Time
+	tooLarge := false
 	for _, m := range s.members {
-		if slices.Contains(tried, m.ID) || !m.withholds(now, req) {
-			continue
-		}
-		if until := m.withheldFor(now, req); first.IsZero() || until.Before(first) {
-			first = until
+		switch {
+		case slices.Contains(tried, m.ID):
+		case !m.fits(req):
+			tooLarge = true
+		case m.withholds(now, req):
+			if until := m.withheldFor(now, req); first.IsZero() || until.Before(first) {
+				first = until
+			}
 		}
 	}
-	if first.IsZero() {
-		return nil, Choice{}, ErrNoServer
+	switch {
+	case !first.IsZero():
+		return nil, Choice{LimitWait: first.Sub(now)}, ErrLimited
+	case tooLarge:
+		return nil, Choice{}, ErrTooLarge
 	}
-	return nil, Choice{LimitWait: first.Sub(now)}, ErrLimited
+	return nil, Choice{}, ErrNoServer
 }
 
 // PickSoonest reserves capacity at the server that is withheld for the shortest time, or not at all, although
@@ -77,7 +84,7 @@
 	start := int(req.Draw % uint64(max(len(svc.members), 1)))
 	for i := range svc.members {
 		m := svc.members[(start+i)%len(svc.members)]
-		if slices.Contains(tried, m.ID) || now.Before(m.restingUntil) || now.Before(m.suspendedUntil) {
+		if slices.Contains(tried, m.ID) || now.Before(m.restingUntil) || now.Before(m.suspendedUntil) || !m.fits(&req) {
 			continue
 		}
 		wait := max(m.withheldUntil.Sub(now), 0)
--- a/router/relay/fakes_test.go
+++ b/router/relay/fakes_test.go
@@ -30,6 +30,8 @@
 	limitHeader       = "Limit"
 	leavingHeader     = "Leaving"
 	brittleHeader     = "Brittle"
+	promptHeader      = "Prompt"
+	outputHeader      = "Output"
 )
 
 // codec maps the headers above.
@@ -43,6 +45,12 @@
 	info := relay.RequestInfo{
 		AttemptID: h.Get(attemptHeader), APIKey: h.Get(keyHeader), Timeout: time.Duration(ms) * time.Millisecond,
 	}
+	if tokens, err := strconv.Atoi(h.Get(promptHeader)); err == nil {
+		info.PromptTokens = tokens
+	}
+	if tokens, err := strconv.Atoi(h.Get(outputHeader)); err == nil {
+		info.MaxOutputTokens = tokens
+	}
 	for text := range strings.SplitSeq(h.Get(partsHeader), ",") {
 		if id, err := strconv.ParseUint(text, 16, 64); err == nil {
 			info.Parts = append(info.Parts, relay.PromptPart{ID: id, Tokens: 10})
--- a/router/relay/response.go
+++ b/router/relay/response.go
@@ -24,6 +24,10 @@
 	shortRetryDelay  = 250 * time.Millisecond
 	longRetryDelay   = 700 * time.Millisecond
 
+	// tooLargeRetryDelay is that for a prompt that no server has the memory for. Only other servers
+	// or another plan would change that.
+	tooLargeRetryDelay = 10 * time.Second
+
 	// retryJitter is the largest fraction by which a delay is randomly
 	// extended, so that callers don't retry all at once.
 	retryJitter = 0.5
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -170,8 +170,11 @@
 // stopReason returns why no further attempt may be made, or an empty string.
 func (p *proxiedRequest) stopReason(ctx context.Context) string {
 	limit := maxRejections
-	if p.executions > 0 {
+	switch {
+	case p.executions > 0:
 		limit = maxRejectionsAfterRun
+	case p.mayNotFit():
+		limit = 1 // Other servers would most likely reject it, too.
 	}
 	switch {
 	case ctx.Err() != nil || time.Until(p.deadline) < minAttemptTime:
@@ -193,6 +196,13 @@
 	return ""
 }
 
+// mayNotFit reports whether a server may lack the memory for the request with a response of the length that its
+// caller allows.
+func (p *proxiedRequest) mayNotFit() bool {
+	service, ok := p.index.servicesByName[p.service]
+	return ok && service.CacheTokens > 0 && int64(p.info.PromptTokens)+int64(p.info.MaxOutputTokens) > service.CacheTokens
+}
+
 // choosePlace reserves a place for the next attempt. The error says why there is none, and
 // retryAfter how much later the caller is asked to retry if it is refused for that.
 func (p *proxiedRequest) choosePlace(ctx context.Context) (*place, error) {
@@ -232,6 +242,8 @@
 	switch {
 	case errors.Is(err, placement.ErrBusy):
 		p.choice, p.retryAfter = choice, max(choice.ExcessWait, shortRetryDelay)
+	case errors.Is(err, placement.ErrTooLarge):
+		p.retryAfter = tooLargeRetryDelay
 	case errors.Is(err, placement.ErrLimited):
 		p.retryAfter = p.relay.paceRefusal(p.service, choice.LimitWait)
 		p.relay.metrics.unpermitted.Inc(1)
