Keep requests from a resting server whose entry was away

Cause: the time for which a server asked for no requests was kept with its entry, here and in the balancer. Change: the servers that want no requests are kept by lifetime, apart from the list, and the balancer is told of them with each list. The later one of two times holds. Another lifetime under the same ID gets requests at once. Ruled out: another lifetime (born is the same).

--- a/router/internal/placement/withhold.go
+++ b/router/internal/placement/withhold.go
@@ -16,11 +16,11 @@
 }
 
 // Rest keeps all requests from a server until a time, whether or not there are others, as it
-// asked this router for that.
+// asked this router for that. It replaces an earlier time.
 func (b *Balancer) Rest(id string, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s, ok := b.servers[id]; ok && until.After(s.restingUntil) {
+	if s, ok := b.servers[id]; ok {
 		s.restingUntil = until
 	}
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -111,6 +111,9 @@
 	limits        *sharedrate.Exchange
 	limitRefusals *refusalPace
 
+	// resting are the servers that want no requests of this router.
+	resting *restingServers
+
 	// brittleServices knows which services have brittle servers.
 	brittleServices brittleServices
 
@@ -174,6 +177,7 @@
 		contacts:    uplink.NewContacts(time.Now()),
 
 		limitRefusals: newRefusalPace(),
+		resting:       newRestingServers(),
 	}
 	r.lingering, r.endLinger = context.WithCancel(context.Background())
 	r.uploads, r.endUploads = context.WithCancel(context.Background())
--- a/router/relay/resting_test.go
+++ b/router/relay/resting_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"snipetally.example/coordination/feed"
 	"snipetally.example/router/relay"
 )
 
@@ -70,3 +71,50 @@
 		})
 	}
 }
+
+// Guards against requests to a server that asked for none for a while, once its entry was away for a moment, or
+// once it asked for a shorter while in a later response.
+func TestServerThatIsListedAgainStillGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	calls, second := &atomic.Int32{}, make(chan struct{})
+	turnsAway := func(w http.ResponseWriter, req *http.Request) {
+		switch calls.Add(1) {
+		case 1: // It is answered last.
+			<-second
+			turnAway("0.001")(w, req)
+		case 2:
+			turnAway("3600")(w, req)
+		default:
+			respond("ok")(w, req)
+		}
+	}
+	r, backends := startNode(t, newPlan(newClass("a", relay.NonIdempotent, 1)), turnsAway)
+	first := make(chan reply, 1)
+	go func() { first <- r.call(t, http.MethodGet, "/a/x", "") }()
+	r.waitUntil(t, func() bool { return calls.Load() == 1 })
+	r.call(t, http.MethodGet, "/a/x", "")
+	close(second)
+	<-first
+	arrived := backends[0].arrived.Load()
+	expectNone := func() {
+		for range 10 {
+			g.Expect(r.call(t, http.MethodGet, "/a/x", "").status).To(gomega.Equal(http.StatusServiceUnavailable))
+		}
+		g.Expect(backends[0].arrived.Load()).To(gomega.Equal(arrived))
+	}
+	expectNone()
+	entry := feed.Change[relay.Server]{Key: backends[0].id, Value: relay.Server{
+		ID: backends[0].id, Service: "s", Address: backends[0].server.Listener.Addr().String(), Slots: 4,
+	}}
+	r.servers.set(feed.Change[relay.Server]{Key: entry.Key, Removed: true})
+	r.waitUntil(t, r.logged("backend server removed", 1))
+	r.servers.set(entry)
+	r.waitUntil(t, r.logged("backend server added", 2))
+	expectNone()
+	entry.Value.StartedAt = time.Now() // Another lifetime has said nothing.
+	r.servers.set(entry)
+	r.waitUntil(t, func() bool {
+		r.call(t, http.MethodGet, "/a/x", "")
+		return backends[0].arrived.Load() > arrived
+	})
+}
--- a/router/relay/servers.go
+++ b/router/relay/servers.go
@@ -41,10 +41,6 @@
 	limit   limitUsage
 	brittle brittleUsage
 
-	// restingUntil is the time on the clock until which the server wants no requests of this
-	// router.
-	restingUntil atomic.Int64
-
 	// listedAt is the time on the clock at which the server of this lifetime was first listed.
 	listedAt time.Duration
 
@@ -142,6 +138,7 @@
 	r.servers.Store(&next)
 	r.updateBalancer()
 	r.recallBrittleness()
+	r.recallRests()
 }
 
 // installAgain installs a list again when the first doubt about its entries ends, unless
