Wait for a paused engine for 1.5 s before its stream is moved

Cause: a stream at an engine that can be reached was moved after 1.25 s of silence. Change: 1.5 s, as the connections to servers bear. Ruled out: an order to stop the run first; a silent engine answers it only once it goes on with the stream as well. Conclusion: fixed for such pauses.

--- a/router/relay/watchdog.go
+++ b/router/relay/watchdog.go
@@ -26,7 +26,7 @@
 	// still. A stream at a silent server is not moved earlier if the server is
 	// reachable: the server may still work on it, and the prompt has to be
 	// processed again at another one.
-	maxHealthyPause = 1250 * time.Millisecond
+	maxHealthyPause = 1500 * time.Millisecond
 
 	// catchUpTime is how long a router waits after a limit has passed before it
 	// calls a server silent. If the router itself stood still, it reads in that
