--- a/router/internal/quarantine/exchange.go
+++ b/router/internal/quarantine/exchange.go
@@ -33,12 +33,6 @@
 
 	// crashRuns is the number of runs in a message.
 	crashRuns = 16
-
-	// What several routers find out at the same time is announced after a random
-	// delay, and not at all if another router has said it by then. The delay grows
-	// with the number of routers, from announceDelay, by announceDelayStep for each.
-	announceDelay     = 10 * time.Millisecond
-	announceDelayStep = 500 * time.Microsecond
 )
 
 // Config configures an exchange.
@@ -250,8 +244,7 @@
 
 // randomDelay returns the delay of an announcement that other routers may make first.
 func (e *Exchange) randomDelay() time.Duration {
-	longest := announceDelay + time.Duration(len(e.config.Members(time.Now())))*announceDelayStep
-	return time.Duration(rand.Int64N(int64(longest)))
+	return datagram.AnnouncementDelay(len(e.config.Members(time.Now())))
 }
 
 // announceVerdicts sends verdicts that this router made to all routers.
--- a/router/internal/sharedrate/announce.go
+++ b/router/internal/sharedrate/announce.go
@@ -5,15 +5,11 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"snipetally.example/router/internal/datagram"
 )
 
 const (
-	// What several routers hear at the same time is announced after a random delay, and
-	// not at all by those that another router has told by then. The delay grows with the
-	// number of routers, from announceDelay, by announceDelayStep for each.
-	announceDelay     = 10 * time.Millisecond
-	announceDelayStep = 500 * time.Microsecond
-
 	// repeatInterval is the interval at which a router tells another one, at random, which
 	// servers leave, as it may have missed the announcement. They are named for repeatTime.
 	repeatInterval = time.Second
@@ -26,14 +22,13 @@
 	e.scheduleAnnouncement()
 }
 
-// scheduleAnnouncement lets the pending changes be announced soon. The caller holds e.mu.
+// scheduleAnnouncement lets the pending changes be announced soon, unless another router does it. The caller holds e.mu.
 func (e *Exchange) scheduleAnnouncement() {
 	if e.announcing {
 		return
 	}
 	e.announcing = true
-	longest := announceDelay + time.Duration(len(e.view.members()))*announceDelayStep
-	time.AfterFunc(time.Duration(rand.Int64N(int64(longest))), e.announce)
+	time.AfterFunc(datagram.AnnouncementDelay(len(e.view.members())), e.announce)
 }
 
 // repeatLeaving tells a random router which servers leave.
--- a/router/relay/brittle_log.go
+++ b/router/relay/brittle_log.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -111,29 +109,3 @@
 		Int64("unanswered", target.usage.unanswered.Load()).Int64("answering", target.usage.answering.Load()).
 		Msg("brittle server loses requests")
 }
-
-// brittleState is a brittle server in the state dump. Tolerated is the number of requests that it can
-// reject in a second, Age is in nanoseconds since a response that said so, and Home is the router
-// that gives its places.
-type brittleState struct {
-	Server    string
-	Service   string
-	Tolerated int
-	Age       time.Duration
-	Home      string
-}
-
-// brittleStates returns the servers that say that they are brittle, by server.
-func (r *relay) brittleStates() []brittleState {
-	var states []brittleState
-	for _, s := range *r.servers.Load() {
-		if said, known := r.limits.Brittleness(s.usage.placeKey); known && said.Brittle {
-			states = append(states, brittleState{
-				Server: s.ID, Service: s.Service, Tolerated: said.Tolerated, Age: r.options.clock() - said.At,
-				Home: r.limits.Home(s.usage.placeKey).Addr().String(),
-			})
-		}
-	}
-	slices.SortFunc(states, func(a, b brittleState) int { return strings.Compare(a.Server, b.Server) })
-	return states
-}
--- a/router/relay/limit_log.go
+++ b/router/relay/limit_log.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -129,29 +127,3 @@
 	event.Float64("limit", statement.PerSecond).Dur("heard", r.options.clock()-statement.At).
 		Str("teller", teller.Addr().String()).Msg(message)
 }
-
-// limitState is the limit of a server in the state dump. PerSecond is the number of requests a
-// second that it takes from all routers together, Age is in nanoseconds since a response
-// that named it, and Home is the router that gives the permits.
-type limitState struct {
-	Server    string
-	Service   string
-	PerSecond float64
-	Age       time.Duration
-	Home      string
-}
-
-// limitStates returns the limits in force, by server.
-func (r *relay) limitStates() []limitState {
-	var states []limitState
-	for _, s := range *r.servers.Load() {
-		if limit, ok := r.limits.Limit(s.usage.key); ok {
-			states = append(states, limitState{
-				Server: s.ID, Service: s.Service, PerSecond: limit.PerSecond, Age: r.options.clock() - limit.At,
-				Home: r.limits.Home(s.usage.key).Addr().String(),
-			})
-		}
-	}
-	slices.SortFunc(states, func(a, b limitState) int { return strings.Compare(a.Server, b.Server) })
-	return states
-}
--- a/router/relay/status.go
+++ b/router/relay/status.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -10,8 +9,6 @@
 
 	"snipetally.example/coordination/feed"
 	"snipetally.example/router/internal/inbound"
-	"snipetally.example/router/internal/placement"
-	"snipetally.example/router/internal/quarantine"
 )
 
 // serveReady answers the readiness check.
@@ -123,66 +120,3 @@
 	}
 	return age.Milliseconds()
 }
-
-// state is the JSON state dump. The field names are part of the format. Version
-// and Age are those of the plan in force; Age is in nanoseconds, and both are -1
-// without a plan. ServersAge is the age of the list of servers in nanoseconds,
-// negative without one.
-type state struct {
-	VM       string
-	Version  int64
-	Age      time.Duration
-	Ready    bool
-	Inflight int64
-
-	// Reach is the state of the links to the servers, and Unheard the time in nanoseconds
-	// since any of them was heard, or since the start before the first one.
-	Reach   string
-	Unheard time.Duration
-
-	ServersAge time.Duration
-	Servers    []placement.ServerState
-
-	// Limits are the limits that servers name.
-	Limits []limitState
-
-	// Brittle are the servers that say that they are brittle.
-	Brittle []brittleState
-
-	// Quarantine holds the verdicts on prompt parts, and Suspects the parts that
-	// crashes speak against.
-	Quarantine []quarantine.VerdictState
-	Suspects   []quarantine.SuspectState
-}
-
-// serveState writes the state dump.
-func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
-	age, ok := n.relay.planAge()
-	if !ok {
-		age = -1
-	}
-	s := state{
-		VM:       n.config.VM,
-		Version:  n.relay.planVersion(),
-		Age:      age,
-		Ready:    n.relay.ready(),
-		Inflight: n.relay.inProgress(),
-
-		Reach:   n.uplink.State().String(),
-		Unheard: n.relay.reach().Unheard,
-
-		ServersAge: n.relay.serversAge(),
-		Servers:    n.relay.balancer.ServerStates(time.Now()),
-
-		Suspects: n.quarantine.Ledger().SuspectStates(),
-	}
-	s.Limits = n.relay.limitStates()
-	s.Brittle = n.relay.brittleStates()
-	for _, v := range n.quarantine.Ledger().Verdicts() {
-		s.Quarantine = append(s.Quarantine, v.State())
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s); err != nil {
-		n.log.Failure(err).Msg("state dump not written")
-	}
-}
