--- a/router/internal/placement/balancer.go
+++ b/router/internal/placement/balancer.go
@@ -338,7 +338,7 @@
 		r.slotShare = 1 / float64(max(s.Slots, 1))
 		r.class.slots += r.slotShare
 		r.class.running++
-		r.reservedTokens = req.cacheTokens(cached)
+		r.reservedTokens = s.boundTokens(req.cacheTokens(cached))
 		s.reservedTokens += r.reservedTokens
 		r.use, r.cached = b.recordUse(now, req, svc, s), cached
 		svc.tokenRate.add(now, float64(r.reservedTokens))
--- a/router/internal/placement/cost.go
+++ b/router/internal/placement/cost.go
@@ -100,7 +100,7 @@
 func (s *service) admissionWait(m *server, req *Request, cached bool) float64 {
 	slots := float64(max(m.Slots, 1))
 	ahead := m.requestsAhead(req.Priority) / slots
-	return s.residence[s.demand.group(req)] * max(ahead, memoryWaitWeight*m.memoryExcess(req.cacheTokens(cached)))
+	return s.residence[s.demand.group(req)] * max(ahead, memoryWaitWeight*m.memoryExcess(m.boundTokens(req.cacheTokens(cached))))
 }
 
 // healthCost returns the cost of a server's health problems, in seconds.
--- a/router/internal/placement/report_test.go
+++ b/router/internal/placement/report_test.go
@@ -31,3 +31,21 @@
 	g.Expect(balancer.LoadReport(now).Demands).To(gomega.HaveLen(1), "estimates of a service outlast its servers")
 	reservation.Done(now, placement.Served)
 }
+
+// Guards against an engine that all routers avoid, as one caller allows or expects a response of far more tokens than the
+// engine has memory for.
+func TestRequestTakesNoMoreMemoryThanItsEngineHas(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const memory, claimed = 1000, 100_000_000
+	now := time.Now()
+	balancer := placement.NewBalancer(now, "router", "zone")
+	balancer.SetServers(now, []placement.Server{{ID: "engine", Service: "llm", Zone: "zone", Slots: 4, Engine: true, CacheTokens: memory}})
+	request := placement.Request{Service: "llm", PromptTokens: 100, OutputTokens: claimed, Class: "a", Target: time.Second}
+	reservation, _, err := balancer.Pick(now, request, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	report := balancer.LoadReport(now)
+	g.Expect(report.Loads[0].ReservedTokens).To(gomega.Equal(memory))
+	g.Expect(report.Demands[0].TokenRate).To(gomega.BeNumerically("<=", memory))
+	reservation.Done(now, placement.Served)
+	g.Expect(balancer.LoadReport(now).Loads).To(gomega.BeEmpty())
+}
--- a/router/internal/placement/server.go
+++ b/router/internal/placement/server.go
@@ -200,6 +200,15 @@
 	return !s.Engine || s.CacheTokens <= 0 || int64(req.PromptTokens) <= s.CacheTokens
 }
 
+// boundTokens returns the tokens that a request takes of the server's memory, which are no more than it has whatever the
+// caller claims.
+func (s *server) boundTokens(tokens int) int {
+	if s.CacheTokens <= 0 {
+		return tokens
+	}
+	return int(min(int64(tokens), s.CacheTokens))
+}
+
 // memoryExcess returns by what fraction the requests in progress, and one that
 // needs more tokens, exceed the engine's memory. It is zero if the size of the
 // memory is not known.
