Print why requests are refused in the test of brittle servers

Change: the failure prints the router's lines on the requests that it refused. What is demanded is unchanged.

--- a/router/relay/brittle_test.go
+++ b/router/relay/brittle_test.go
@@ -101,7 +101,8 @@
 	r.hearBrittle(t, 2)
 	g.Expect(r.stateDump(t)["Brittle"]).To(gomega.HaveLen(2))
 	g.Expect(r.metrics(t)).To(gomega.ContainSubstring("brittle.known"))
-	g.Expect(r.callTogether(t, 40, 10, "/r/x")).To(gomega.Equal(map[int]int{http.StatusOK: 400}))
+	statuses := r.callTogether(t, 40, 10, "/r/x")
+	g.Expect(statuses).To(gomega.Equal(map[int]int{http.StatusOK: 400}), func() string { return r.lines("request ended") })
 	for _, s := range servers {
 		g.Expect(s.rejected.Load()).To(gomega.BeNumerically("<=", toleratedRejections))
 	}
--- a/router/relay/testnode_test.go
+++ b/router/relay/testnode_test.go
@@ -81,6 +81,19 @@
 	}
 }
 
+// lines returns the lines that the node has logged with a message, for the description of a failure.
+func (r *testNode) lines(message string) string {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(r.log.text.String()) {
+		if strings.Contains(line, fmt.Sprintf("%q", message)) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
+
 // loopbackHost returns a random loopback address that no other test is likely
 // to use. On a shared one, another test process may take a free port before a
 // node binds it.
