Play withheld promises with teams, and 421 by itself

Cause: the tests of promises had no request of a team, none that two servers had turned away truly before a third ran it, and 421 only with the header beside it. Change: TestPromiseIsNotPassedOnToATeam; 421 without the header in the test of true statements.

--- a/router/relay/promise_test.go
+++ b/router/relay/promise_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// Guards against the same promise for a request of a team, and with a true one beside: another server turned the
+// request away before.
+func TestPromiseIsNotPassedOnToATeam(t *testing.T) {
+	t.Parallel()
+	for _, status := range promises {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			plan := newPlan(newClass("a", relay.NonIdempotent, 3))
+			plan.Teams = []relay.Team{{Name: "red", Keys: []string{"k1"}}}
+			r, backends := startNode(t, plan, rejectRequest, rejectRequest, runAndAnswer(status))
+			expectNoPromise(g, r.call(t, http.MethodPost, "/a/x", "k1"))
+			g.Expect(backends[2].arrived.Load()).To(gomega.BeEquivalentTo(1))
+		})
+	}
+}
+
 // Guards against the same promise after an attempt at another server, which failed, or rejected the
 // request truly, or was rejected after the run: whatever the order, the request may have run.
 func TestPromiseAfterOtherAttemptsIsNotPassedOn(t *testing.T) {
@@ -207,7 +224,9 @@
 				t.Parallel()
 				g := gomega.NewWithT(t)
 				r, _ := startNode(t, newPlan(newClass("a", kind, 1)), func(w http.ResponseWriter, _ *http.Request) {
-					w.Header().Set(notExecutedHeader, "yes")
+					if status != http.StatusMisdirectedRequest { // It states that by itself.
+						w.Header().Set(notExecutedHeader, "yes")
+					}
 					w.WriteHeader(status)
 				})
 				got := r.call(t, http.MethodPost, "/a/x", "")
