End the engines of migration tests with their test

The dump shows that engine waiting there, and nothing of the router. Change: such an engine ends when its request is canceled. Tests only; nothing that is demanded changes.

--- a/router/relay/migration_test.go
+++ b/router/relay/migration_test.go
@@ -72,7 +72,11 @@
 	plan.Services[0] = relay.Service{Name: "s", Slots: 4, TokensPerEvent: 1, SupportsMigration: true}
 	engine := func(w http.ResponseWriter, req *http.Request) {
 		if c := req.Header.Get(kvCopyHeader); c != "" {
-			n.continued <- c
+			select {
+			case n.continued <- c:
+			case <-req.Context().Done(): // The test is over, and nobody waits for it any more.
+				return
+			}
 			n.resume(w, req)
 			return
 		}
